--- /dev/null
+++ b/src/main/java/wheelroute/adapter/SettingsReader.java
@@ -0,0 +1,138 @@
+package wheelroute.adapter;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import wheelroute.decision.Effect;
+import wheelroute.decision.Group;
+import wheelroute.decision.Ids;
+import wheelroute.decision.Settings;
+
+/** The path=value pairs of CONFIGURE, in our words. Keys it does not know are skipped. */
+final class SettingsReader {
+    private static final double MICROS = 1e6;
+    private static final String CLASSES = "request_classes.";
+
+    private final Map<String, String> pairs = new HashMap<>();
+    private final LineReader line;
+
+    private SettingsReader(LineReader line) {
+        this.line = line;
+    }
+
+    static Settings read(long seed, LineReader line) throws WireException {
+        SettingsReader reader = new SettingsReader(line);
+        while (line.hasMore()) {
+            String pair = line.text("conf");
+            int eq = pair.indexOf('=');
+            if (eq < 1) {
+                throw line.error("'" + pair + "' is not path=value");
+            }
+            reader.pairs.put(pair.substring(0, eq), pair.substring(eq + 1));
+        }
+        return reader.settings(seed);
+    }
+
+    private Settings settings(long seed) throws WireException {
+        return new Settings(seed, new Ids.Zone(text("az", "")), (int) number("balancers", 1),
+                seconds("round_us", 0), offerings(), quotas(), number("over_share_worth", 1),
+                text("membership_mode", "push").equals("ask"), flag("family_info.tells_start"),
+                seconds("family_info.progress_us", 0), text("report.source", "silent").equals("pull"),
+                flag("permissions.probing"), flag("permissions.cancel"), flag("permissions.may_duplicate"),
+                flag("permissions.retry_after"), seconds("permissions.max_retry_after_us", 0),
+                (int) number("permissions.most_tries", 1), seconds("rules.stop_sending_within_us", 0),
+                number("rules.cold_from", 1), seconds("rules.cold_us", 0),
+                number("rules.tip_multiple", 1), seconds("rules.fall_us", 0),
+                number("prices.cross_zone", 0), number("prices.waste", 0), number("prices.late_fail", 0));
+    }
+
+    private List<Settings.Offering> offerings() throws WireException {
+        List<Settings.Offering> rows = new ArrayList<>();
+        int count = (int) number(CLASSES + "count", 0);
+        String[] stretches = text("family_info.class_stretch", "").split(",");
+        String[] models = text("family_info.class_kind", "").split(",");
+        for (int i = 0; i < count; i++) {
+            String row = CLASSES + i + ".";
+            String model = i < models.length ? models[i] : "";
+            rows.add(new Settings.Offering(new Ids.Offering(text(row + "name", "")), effect(row), group(row),
+                    seconds(row + "on_time_us", 0), stretch(row, stretches, i),
+                    seconds(row + "hard_limit_us", 0), number(row + "worth", 1), number(row + "late_value", 0),
+                    seconds(row + "window_us", 0), flag(row + "streamed"),
+                    model.isEmpty() || model.equals("-1") ? null : new Ids.Model(modelName(model))));
+        }
+        return rows;
+    }
+
+    /** A class's kind may come as a name or as its place in the list of kinds. */
+    private String modelName(String model) {
+        String[] names = text("models", "").split(",");
+        for (int i = 0; i < names.length; i++) {
+            if (model.equals(Integer.toString(i))) {
+                return names[i];
+            }
+        }
+        return model;
+    }
+
+    private double stretch(String row, String[] stretches, int i) throws WireException {
+        if (pairs.containsKey(row + "aim_stretch") || i >= stretches.length || stretches[i].isEmpty()) {
+            return number(row + "aim_stretch", 0);
+        }
+        return parse("family_info.class_stretch", stretches[i]);
+    }
+
+    private Effect effect(String row) {
+        return switch (text(row + "effect", "")) {
+            case "free" -> Effect.IDEMPOTENT;
+            case "guarded" -> Effect.DEDUPLICATED;
+            // Anything else, also a kind yet to come, gets the strictest reading.
+            default -> Effect.UNREPEATABLE;
+        };
+    }
+
+    private Group group(String row) {
+        return switch (text(row + "group", "")) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            default -> Group.CELL;
+        };
+    }
+
+    private Map<Ids.Tenant, Double> quotas() throws WireException {
+        Map<Ids.Tenant, Double> quotas = new LinkedHashMap<>();
+        int count = (int) number("tenants.count", 0);
+        for (int i = 0; i < count; i++) {
+            quotas.put(new Ids.Tenant(text("tenants." + i + ".name", "")),
+                    number("tenants." + i + ".quota_per_s", 0));
+        }
+        return quotas;
+    }
+
+    private String text(String key, String absent) {
+        return pairs.getOrDefault(key, absent);
+    }
+
+    private boolean flag(String key) {
+        String s = text(key, "");
+        return s.equals("true") || s.equals("1");
+    }
+
+    private double seconds(String key, double absent) throws WireException {
+        return number(key, absent * MICROS) / MICROS;
+    }
+
+    private double number(String key, double absent) throws WireException {
+        String s = pairs.get(key);
+        return s == null || s.equals("-") ? absent : parse(key, s);
+    }
+
+    private double parse(String key, String s) throws WireException {
+        try {
+            return Double.parseDouble(s);
+        } catch (NumberFormatException e) {
+            throw line.error("setting '" + key + "' is not a number: " + s);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/decision/Outcome.java
@@ -0,0 +1,25 @@
+package wheelroute.decision;
+
+/** How a launch ended, and whether its effect may have happened. */
+public enum Outcome {
+    ANSWERED(true),
+    ERRED(true),
+    TURNED_AWAY(false),
+    TIMED_OUT(true),
+    UNCONNECTED(false),
+    BROKEN_OFF(true),
+    CANCELLED(true),
+    NEVER_SENT(false),
+    /** An outcome that this version has no name for: the careful reading is that it ran. */
+    UNKNOWN(true);
+
+    private final boolean mayHaveRun;
+
+    Outcome(boolean mayHaveRun) {
+        this.mayHaveRun = mayHaveRun;
+    }
+
+    public boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -0,0 +1,935 @@
+package wheelroute.decision;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32;
+
+/**
+ * All decisions of one dispatcher: which worker each submission goes to, and what is done when that goes wrong.
+ *
+ * <p>How it is called: {@link #at} gives the time before each event; {@link #take} accepts a submission and gives
+ * a {@link Handle}, on which everything that happens to it later is a call; {@link #listed}, {@link #probed} and
+ * {@link #woken} are the events of no one submission. It acts through {@link Dispatcher} only, and the words of
+ * both are the records beside this file. One thread, no clock, no I/O: the same events give the same actions.
+ *
+ * <p>The mechanism is the first policy iteration rule of Hyytiä and Aalto, "To Split or not to Split", section
+ * 4.1; docs/design.md tells what was kept of it, what was changed, and when each exception acts.
+ */
+public final class Policy {
+    /** Costs this close to the cheapest are a tie: hints are too rough to tell them apart. */
+    private static final double TIE_BAND = 0.10;
+    /** Offered load is held below this: the cost's factor has a pole at 1. */
+    private static final double MOST_LOAD = 0.95;
+    /** Speed is smoothed over this long: shorter follows the noise of single jobs, longer misses a slowdown. */
+    private static final double SPEED_MEMORY = 5;
+    /** A worker's own record weighs as much as the others' after this many jobs of mean size. */
+    private static final double PRIOR_JOBS = 2;
+    /** Samples kept of each figure: enough for a mean, few enough to forget. */
+    private static final int KEPT = 8;
+    /** Arrivals kept: the rate is read off a few seconds of traffic. */
+    private static final int KEPT_ARRIVALS = 64;
+    /** A worker with this many times the mean of our launches a slot, and a few more, is overfull. */
+    private static final double OVERFULL = 2;
+    private static final double OVERFULL_SPARE = 1;
+    /** A job past its expected end is taken to need this part of what it has had: job sizes are heavy-tailed. */
+    private static final double TAIL = 0.3;
+    /** Others' work seen in a wait or a report is forgotten over this long, about a job or two. */
+    private static final double OTHERS_MEMORY = 2;
+    /** How often overdue launches are looked for: well under the shortest allowance. */
+    private static final double SWEEP = 0.1;
+    /** Silence this long past what was expected means trouble: it covers transit and a pause. */
+    private static final double SILENCE = 0.5;
+    /** Expected times may be out by this factor before silence counts. */
+    private static final double SILENCE_FACTOR = 2;
+    /** Failures within this long count against a worker. */
+    private static final double FAILURE_MEMORY = 10;
+    /** This many recent failures put a worker on probation; one can befall any. */
+    private static final int FAILURES_BORNE = 1;
+    /** Successes in a row that end a probation: fewer and a worker failing two in three gets out by luck. */
+    private static final int GOOD_TRIALS = 3;
+    private static final double FIRST_PAUSE = 0.5;
+    private static final double LONGEST_PAUSE = 4;
+    /** At most this part of the workers is locked out at once; past that the trouble is not the workers'. */
+    private static final double MOST_LOCKED_OUT = 0.5;
+    /** A worker that turned a launch away is left alone this long: about a job's time. */
+    private static final double FULL_PAUSE = 0.3;
+    /** Of our share of a cold worker's budget this much is used: hints are rough and its size is a guess. */
+    private static final double COLD_USE = 0.5;
+    /** Taken off the window in which repeats are known, for the way to the worker. */
+    private static final double TRANSIT = 0.5;
+    /** Nothing is launched that has less than this left: it could not even reach a worker and return. */
+    private static final double LAST_CALL = 0.02;
+    /** A failed watch is asked for again after this long, doubling up to the last. */
+    private static final double FIRST_ASK = 0.5;
+    private static final double LONGEST_ASK = 4;
+    private static final double PROBE_EVERY = 1;
+    /** Bounced when the best worker would answer later than this many quoted times. */
+    private static final double HOPELESS = 1.3;
+    /** No worker is taken to run more jobs at once, whatever a report says: the arithmetic must stay bounded. */
+    private static final int MOST_SLOTS = 64;
+    /** Launches ahead that are followed one by one; what lies behind them counts in bulk. */
+    private static final int FOLLOWED = 24;
+    private static final double STANDARD_SPEED = 1;
+    private static final double NO_HINT_YET = 1;
+
+    private final Settings settings;
+    private final Dispatcher dispatcher;
+    private final Map<Ids.Offering, Row> rows = new HashMap<>();
+    private final Map<Ids.Worker, Worker> workers = new HashMap<>();
+    private final Map<Ids.Model, ModelState> models = new HashMap<>();
+    /** The workers that the list calls active, in the order of their ids. */
+    private final List<Worker> fleet = new ArrayList<>();
+    /** Every worker still named or holding a launch of ours, in the same order. */
+    private final List<Worker> known = new ArrayList<>();
+    private final Samples arrivals = new Samples(KEPT_ARRIVALS);
+    private final CRC32 crc = new CRC32();
+    private long draws;
+    private double now;
+    private int launchesOut;
+    private int lockedOut;
+    private double watchAgainAt = Double.NaN;
+    private double askPause = FIRST_ASK;
+    private double probeAt;
+    private boolean begun;
+
+    public Policy(Settings settings, Dispatcher dispatcher) {
+        this.settings = settings;
+        this.dispatcher = dispatcher;
+        for (Settings.Offering offering : settings.offerings()) {
+            rows.put(offering.id(), new Row(offering));
+        }
+    }
+
+    // ---- events of no one submission
+
+    /** The time, in seconds, of the events that follow. */
+    public void at(double time) {
+        now = time;
+        if (!begun) {
+            begun = true;
+            dispatcher.wake(SWEEP);
+            if (settings.listMustBeAsked()) {
+                dispatcher.watchList();
+            }
+        }
+    }
+
+    public void woken() {
+        dispatcher.wake(SWEEP);
+        if (now >= watchAgainAt) {
+            watchAgainAt = Double.NaN;
+            dispatcher.watchList();
+        }
+        for (Worker w : new ArrayList<>(known)) {
+            if (!w.out.isEmpty()) {
+                lookForSilence(w);
+            }
+        }
+        if (settings.mayProbe() && settings.reportsOnProbe() && now >= probeAt) {
+            probeAt = now + PROBE_EVERY;
+            for (Worker w : fleet) {
+                dispatcher.probe(w.id);
+            }
+        }
+    }
+
+    /** A failed or broken watch: the old list still holds, but not hearing of a drain is no excuse. */
+    public void listFailed() {
+        if (settings.listMustBeAsked()) {
+            watchAgainAt = now + askPause * (1 + chance());
+            askPause = Math.min(LONGEST_ASK, 2 * askPause);
+        }
+    }
+
+    /** The list's news: whole lists drop who is not in them. A remembered list may be stale, and answers no call. */
+    public void listed(List<Listing> entries, boolean whole, boolean remembered) {
+        if (!remembered) {
+            askPause = FIRST_ASK;
+        }
+        if (whole) {
+            for (Worker w : workers.values()) {
+                w.named = false;
+            }
+        }
+        List<Worker> lost = new ArrayList<>();
+        for (Listing entry : entries) {
+            Worker w = workers.computeIfAbsent(entry.worker(), Worker::new);
+            if (w.take(entry)) {
+                lost.add(w);
+            }
+        }
+        fleet.clear();
+        for (Worker w : workers.values()) {
+            if (whole && !w.named) {
+                w.ready = false;
+                lost.add(w);
+            }
+            if (w.ready) {
+                fleet.add(w);
+            }
+        }
+        fleet.sort(Worker.BY_ID);
+        lost.sort(Worker.BY_ID);
+        for (Worker w : lost) {
+            rescueAll(w);
+        }
+        workers.values().removeIf(w -> !w.ready && w.out.isEmpty());
+        known.clear();
+        known.addAll(workers.values());
+        known.sort(Worker.BY_ID);
+    }
+
+    public void probed(Ids.Worker id, boolean answered, double ago, LoadReport report) {
+        Worker w = workers.get(id);
+        if (w != null && answered) {
+            w.reported(report);
+        }
+    }
+
+    // ---- submissions
+
+    /** Takes a submission; null when the settings have no such offering. */
+    public Handle take(Submission submission) {
+        Row row = rows.get(submission.offering());
+        if (row == null) {
+            return null;
+        }
+        Handle handle = new Handle(submission, row);
+        arrivals.add(now, handle.work, row.value);
+        handle.place();
+        return handle;
+    }
+
+    /** One submission, from its taking until its last launch has ended. */
+    public final class Handle {
+        private final Submission submission;
+        private final Row row;
+        private final double work;
+        private final double slots;
+        private final List<Launch> launches = new ArrayList<>(2);
+        private int out;
+        private boolean done;
+        private boolean streaming;
+
+        private Handle(Submission submission, Row row) {
+            this.submission = submission;
+            this.row = row;
+            this.work = row.workOf(submission.hint());
+            this.slots = Math.max(1, submission.slots());
+        }
+
+        /** Nothing more will happen to it. */
+        public boolean isOver() {
+            return done && out == 0;
+        }
+
+        /** The client left, or its answer is known to it already. */
+        public void gone() {
+            done = true;
+            callOff();
+        }
+
+        public void started(int number) {
+            Launch launch = launch(number);
+            if (launch != null && launch.isOut()) {
+                launch.startedAt = now;
+                launch.worker.heard();
+                launch.worker.waits.add(now, Math.max(0, now - launch.sentAt - launch.ownWait), 1);
+                launch.worker.noteRunning();
+            }
+        }
+
+        public void progressed(int number, double share) {
+            Launch launch = launch(number);
+            if (launch != null && launch.isOut()) {
+                launch.share = share;
+                launch.sharedAt = now;
+                launch.worker.heard();
+            }
+        }
+
+        public void streaming(int number) {
+            Launch launch = launch(number);
+            if (launch != null) {
+                streaming = true;
+                launch.worker.heard();
+            }
+        }
+
+        /** A launch ended; over when the submission itself ended with it or before it. */
+        public void ended(int number, Outcome outcome, boolean over, LoadReport report) {
+            Launch launch = launch(number);
+            if (launch == null || !launch.isOut()) {
+                return;
+            }
+            launch.outcome = outcome;
+            out--;
+            launchesOut--;
+            launch.worker.out.remove(launch);
+            launch.worker.workOut = launch.worker.out.isEmpty() ? 0 : launch.worker.workOut - work * slots;
+            launch.worker.reported(report);
+            launch.worker.learn(launch, outcome);
+            if (over || outcome == Outcome.ANSWERED) {
+                done = true;
+                callOff();
+            } else if (!done) {
+                place();
+            }
+        }
+
+        private Launch launch(int number) {
+            return number >= 0 && number < launches.size() ? launches.get(number) : null;
+        }
+
+        /** Guards against work for an answer that nobody waits for. */
+        private void callOff() {
+            for (int i = 0; i < launches.size() && settings.mayCancel(); i++) {
+                if (launches.get(i).isOut() && !launches.get(i).calledOff) {
+                    launches.get(i).calledOff = true;
+                    dispatcher.cancel(submission.id(), i);
+                }
+            }
+        }
+
+        private boolean mayHaveRun() {
+            for (Launch launch : launches) {
+                if (launch.mayHaveRun()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Rule 2, and the limits on copies and launches: whether one more launch anywhere can be right. */
+        private boolean mayLaunch() {
+            if (done || streaming || launches.size() >= settings.mostLaunches()
+                    || now > submission.outerLimit() - LAST_CALL || out > 0 && !settings.mayCopy()) {
+                return false;
+            }
+            return row.effect != Effect.UNREPEATABLE || !mayHaveRun();
+        }
+
+        /** Rule 2 for deduplicated submissions: only where, and while, the repeat is known as one. */
+        private boolean mayGoTo(Worker w) {
+            boolean guarded = row.effect == Effect.DEDUPLICATED;
+            for (Launch launch : launches) {
+                if (launch.worker == w && (launch.isOut() || launch.outcome == Outcome.TURNED_AWAY)) {
+                    return false;
+                }
+                if (guarded && launch.mayHaveRun() && (now > launch.sentAt + row.window - TRANSIT
+                        || !row.sameGroup(launch.place, w.listing))) {
+                    return false;
+                }
+            }
+            return row.model == null || row.model.equals(w.listing.model());
+        }
+
+        /** Rule 2: a bounce tells the client that a retry does no harm. */
+        private boolean mayBounce() {
+            return !mayHaveRun() || row.effect == Effect.IDEMPOTENT
+                    || row.effect == Effect.DEDUPLICATED && row.group == Group.ALL;
+        }
+
+        /** Sends it to the cheapest worker, or gives it up at once if nothing is left to wait for. */
+        private void place() {
+            Worker best = mayLaunch() ? cheapest(this) : null;
+            if (best != null && !(out == 0 && mayBounce() && isHopeless(best))) {
+                launchAt(best);
+            } else if (out == 0) {
+                giveUp(best);
+            }
+        }
+
+        private boolean isHopeless(Worker best) {
+            double answerIn = best.wait(slots) + work / best.speed();
+            return answerIn > HOPELESS * row.quotedFor(work) || now + answerIn > submission.outerLimit();
+        }
+
+        private void launchAt(Worker w) {
+            Launch launch = new Launch(this, launches.size(), w, now);
+            launch.ownWait = w.ownWait(slots);
+            launch.expectedWait = w.wait(slots);
+            launches.add(launch);
+            out++;
+            launchesOut++;
+            w.out.add(launch);
+            w.workOut += work * slots;
+            w.sentCold(work * slots);
+            dispatcher.launch(submission.id(), w.id, 0);
+        }
+
+        /** Rule 1: the one final answer, as soon as nothing is out and nothing more may be tried. */
+        private void giveUp(Worker best) {
+            done = true;
+            if (mayBounce()) {
+                double after = best == null ? FULL_PAUSE : best.wait(slots);
+                dispatcher.bounce(submission.id(), settings.clientsHearRetryAfter()
+                        ? Math.min(settings.longestRetryAfter(), after) : 0);
+            } else {
+                dispatcher.scrap(submission.id());
+            }
+        }
+
+        /** A launch that its worker has lost or keeps silent about: again elsewhere, where that may be. */
+        private void rescue(Launch launch) {
+            if (launch.rescued || done || streaming) {
+                return;
+            }
+            launch.rescued = true;
+            if (settings.mayCopy()) {
+                place();
+            } else if (settings.mayCancel() && row.effect == Effect.IDEMPOTENT) {
+                launch.calledOff = true;
+                dispatcher.cancel(submission.id(), launch.number);
+            }
+        }
+    }
+
+    // ---- the ordinary path
+
+    /** The worker of least admittance cost; among near ties, one by chance; null when none may be used. */
+    private Worker cheapest(Handle h) {
+        double capacity = 0;
+        double slotsInAll = 0;
+        lockedOut = 0;
+        for (Worker w : fleet) {
+            w.figure(h.slots);
+            lockedOut += w.probation ? 1 : 0;
+            capacity += w.speed() * w.slots();
+            slotsInAll += w.slots();
+        }
+        double perSlot = launchesOut / Math.max(1, slotsInAll);
+        double load = Math.min(MOST_LOAD, arrivals.rateOfFirst(now) / Math.max(capacity, STANDARD_SPEED / KEPT));
+        double kappa = arrivals.rate(now) * arrivals.meanOfSecond() / (2 * (1 - load)) / capacity;
+        double least = Double.POSITIVE_INFINITY;
+        // The last resorts come in only when nothing better is open: overfull ones, then those on probation.
+        for (int resort = 0; resort < 3 && least == Double.POSITIVE_INFINITY; resort++) {
+            for (Worker w : fleet) {
+                boolean overfull = w.out.size() > w.slots() * (OVERFULL * perSlot + OVERFULL_SPARE);
+                boolean open = h.mayGoTo(w) && w.mayTakeCold(h.work * h.slots) && now >= w.fullUntil
+                        && (resort > 0 || !overfull) && (resort > 1 || w.takesTrial(h));
+                w.cost = open ? w.admittanceCost(h, kappa) : Double.POSITIVE_INFINITY;
+                least = Math.min(least, w.cost);
+            }
+        }
+        return least == Double.POSITIVE_INFINITY ? null : drawAmong(least * (1 + TIE_BAND));
+    }
+
+    private Worker drawAmong(double most) {
+        int tied = 0;
+        for (Worker w : fleet) {
+            tied += w.cost <= most ? 1 : 0;
+        }
+        int pick = tied > 1 ? (int) (chance() * tied) : 0;
+        for (Worker w : fleet) {
+            if (w.cost <= most && pick-- == 0) {
+                return w;
+            }
+        }
+        return null;
+    }
+
+    private double chance() {
+        crc.reset();
+        long v = settings.seed();
+        for (int i = 0; i < Long.BYTES; i++) {
+            crc.update((int) (v >>> 8 * i));
+        }
+        draws++;
+        for (int i = 0; i < Long.BYTES; i++) {
+            crc.update((int) (draws >>> 8 * i));
+        }
+        return crc.getValue() / (double) (1L << Integer.SIZE);
+    }
+
+    // ---- trouble
+
+    /** Guards against a hung or vanished worker, which looks merely busy. */
+    private void lookForSilence(Worker w) {
+        Launch oldest = w.out.get(0);
+        double expected = oldest.expectedWait;
+        if (oldest.startedAt > 0 || !settings.tellsStart()) {
+            double run = oldest.handle.work / w.speed();
+            expected += settings.progressEvery() > 0 ? settings.progressEvery() : SILENCE_FACTOR * run;
+        }
+        double since = Math.max(w.heardAt, oldest.sentAt);
+        if (now - since > SILENCE + SILENCE_FACTOR * expected) {
+            if (!w.silent) {
+                w.silent = true;
+                w.failed();
+                w.probation = true;
+            }
+            rescueAll(w);
+        }
+    }
+
+    private void rescueAll(Worker w) {
+        for (Launch launch : new ArrayList<>(w.out)) {
+            launch.handle.rescue(launch);
+        }
+    }
+
+    // ---- workers
+
+    /** A worker as this dispatcher knows it: what the list says, and its own record. */
+    private final class Worker {
+        static final Comparator<Worker> BY_ID = Comparator.comparingLong(w -> w.id.value());
+
+        final Ids.Worker id;
+        Listing listing;
+        ModelState model;
+        boolean ready;
+        boolean named;
+        final List<Launch> out = new ArrayList<>();
+        double workOut;
+        final Samples runs = new Samples(KEPT);
+        final Samples waits = new Samples(KEPT);
+        final Samples failures = new Samples(KEPT);
+        final ArrayDeque<double[]> sentCold = new ArrayDeque<>();
+        double heardAt = Double.NEGATIVE_INFINITY;
+        double fullUntil = Double.NEGATIVE_INFINITY;
+        boolean silent;
+        boolean probation;
+        int goodTrials;
+        double trialAt = Double.NEGATIVE_INFINITY;
+        double pause = FIRST_PAUSE;
+        double othersHeld;
+        double othersAt = Double.NEGATIVE_INFINITY;
+        double cost;
+        private double[] slotFreeAt = new double[1];
+        private double speedNow;
+        private double speedAt = Double.NEGATIVE_INFINITY;
+        private double waitNow;
+        private double backlogNow;
+
+        Worker(Ids.Worker id) {
+            this.id = id;
+        }
+
+        /** Takes its entry in the list; true when what is out there is lost. */
+        boolean take(Listing entry) {
+            boolean again = listing != null && entry.startedAt() > 0
+                    && !(entry.startedAt() <= listing.startedAt());
+            listing = entry;
+            model = models.computeIfAbsent(entry.model(), m -> new ModelState());
+            named = true;
+            ready = entry.readiness() == Listing.Readiness.ACTIVE;
+            if (again) {
+                // Guards against a restarted worker that keeps its old speed and its old faults.
+                runs.clear();
+                waits.clear();
+                failures.clear();
+                probation = false;
+                silent = false;
+                speedAt = Double.NEGATIVE_INFINITY;
+            }
+            return again || entry.readiness() == Listing.Readiness.GONE;
+        }
+
+        void heard() {
+            heardAt = now;
+            silent = false;
+        }
+
+        void reported(LoadReport report) {
+            if (!Double.isNaN(report.freeSlots())) {
+                double running = Double.isNaN(report.held()) || Double.isNaN(report.waiting())
+                        ? 0 : report.held() - report.waiting();
+                model.slots = Math.max(model.slots, (int) Math.round(report.freeSlots() + Math.max(0, running)));
+            }
+            double held = report.held();
+            if (Double.isNaN(held) && !Double.isNaN(report.freeSlots())) {
+                held = slots() - report.freeSlots() + (Double.isNaN(report.waiting()) ? 0 : report.waiting());
+            }
+            if (!Double.isNaN(held)) {
+                othersHeld = Math.max(0, held - out.size());
+                othersAt = now;
+            }
+        }
+
+        void noteRunning() {
+            int running = 0;
+            for (Launch launch : out) {
+                running += launch.startedAt > 0 ? (int) launch.handle.slots : 0;
+            }
+            model.slots = Math.max(model.slots, running);
+        }
+
+        /** What the end of a launch tells of its worker. */
+        void learn(Launch launch, Outcome outcome) {
+            switch (outcome) {
+                case ANSWERED -> {
+                    heard();
+                    double from = launch.startedAt > 0 ? launch.startedAt : launch.sentAt;
+                    if (launch.startedAt > 0 || launch.ownWait == 0) {
+                        runs.add(now, launch.handle.work, Math.max(now - from, settings.round()));
+                        speedAt = Double.NEGATIVE_INFINITY;
+                        model.runs.add(now, launch.handle.work, Math.max(now - from, settings.round()));
+                    }
+                    goodTrials++;
+                    if (goodTrials >= GOOD_TRIALS) {
+                        probation = false;
+                        failures.clear();
+                        pause = FIRST_PAUSE;
+                    }
+                }
+                case TURNED_AWAY -> {
+                    heard();
+                    fullUntil = now + FULL_PAUSE;
+                }
+                case ERRED -> {
+                    heard();
+                    failed();
+                }
+                case BROKEN_OFF, UNCONNECTED, UNKNOWN -> failed();
+                default -> {
+                }
+            }
+        }
+
+        void failed() {
+            failures.add(now, 1, 1);
+            goodTrials = 0;
+            if (probation || failures.countSince(now - FAILURE_MEMORY) > FAILURES_BORNE) {
+                probation = true;
+                trialAt = now + pause;
+                pause = Math.min(LONGEST_PAUSE, 2 * pause);
+            }
+        }
+
+        /** Probation: one launch at a time, after a pause, and only of what may be tried again. */
+        boolean takesTrial(Handle h) {
+            if (!probation || lockedOut > MOST_LOCKED_OUT * fleet.size()) {
+                return true;
+            }
+            return now >= trialAt && out.isEmpty() && h.row.effect != Effect.UNREPEATABLE;
+        }
+
+        int slots() {
+            return Math.min(MOST_SLOTS, Math.max(1, model.slots));
+        }
+
+        /** Learned speed; a worker new to us begins at the others' and nears its own record. */
+        double speed() {
+            if (now - speedAt > SWEEP) {
+                double prior = PRIOR_JOBS * arrivals.meanOfFirst(NO_HINT_YET);
+                double done = prior * model.speed();
+                double took = prior;
+                for (int i = 0; i < runs.size(); i++) {
+                    double weight = Math.exp((runs.time(i) - now) / SPEED_MEMORY);
+                    done += weight * runs.first(i);
+                    took += weight * runs.second(i);
+                }
+                speedNow = done / took * warmth(now);
+                speedAt = now;
+            }
+            return speedNow;
+        }
+
+        /** The part of its capacity a worker has at least: it warms up no slower than evenly. */
+        double warmth(double time) {
+            double age = time - listing.startedAt();
+            if (!(age < settings.coldFor())) {
+                return 1;
+            }
+            return settings.coldShare() + (1 - settings.coldShare()) * Math.max(0, age) / settings.coldFor();
+        }
+
+        /** Rule 4: our share of what a cold worker may be sent within any window. */
+        boolean mayTakeCold(double work) {
+            if (warmth(now - settings.tipWindow()) >= 1) {
+                return true;
+            }
+            double sent = work;
+            for (double[] entry : sentCold) {
+                sent += entry[0] > now - settings.tipWindow() ? entry[1] : 0;
+            }
+            double budget = settings.tipMultiple() * warmth(now - settings.tipWindow()) * model.speed() * slots()
+                    * settings.tipWindow() / Math.max(1, settings.dispatchers());
+            return sent <= COLD_USE * budget;
+        }
+
+        void sentCold(double work) {
+            while (!sentCold.isEmpty() && sentCold.peekFirst()[0] <= now - settings.tipWindow()) {
+                sentCold.pollFirst();
+            }
+            if (warmth(now) < 1) {
+                sentCold.addLast(new double[] {now, work});
+            }
+        }
+
+        /** Works out the wait and the backlog once for the costs that follow. */
+        void figure(double need) {
+            waitNow = wait(need);
+            double sum = 0;
+            for (int i = 0; i < slots(); i++) {
+                sum += slotFreeAt[i];
+            }
+            backlogNow = sum / slots();
+        }
+
+        double wait(double need) {
+            return waitBehind(need, true) + unseen();
+        }
+
+        double ownWait(double need) {
+            return waitBehind(need, false);
+        }
+
+        /** How long until a job starts that comes after ours, and after others' that reports show. */
+        private double waitBehind(double need, boolean withOthers) {
+            int n = slots();
+            if (slotFreeAt.length < n) {
+                slotFreeAt = new double[n];
+            }
+            Arrays.fill(slotFreeAt, 0);
+            if (withOthers) {
+                double part = Math.max(0, 1 - (now - othersAt) / OTHERS_MEMORY);
+                for (int i = (int) Math.min(FOLLOWED, Math.round(othersHeld * part)); i > 0; i--) {
+                    occupy(1, arrivals.meanOfFirst(NO_HINT_YET) / speed());
+                }
+            }
+            double rest = workOut;
+            for (int i = 0; i < Math.min(out.size(), FOLLOWED); i++) {
+                Launch launch = out.get(i);
+                occupy(launch.handle.slots, launch.remaining(now, speed()));
+                rest -= launch.handle.work * launch.handle.slots;
+            }
+            return slotFreeAt[startingSlot(need)] + (out.size() > FOLLOWED ? rest / speed() / n : 0);
+        }
+
+        /** The slot whose freeing lets a job start; after this the slots it takes with it come before it. */
+        private int startingSlot(double need) {
+            int n = slots();
+            if (need > 1) {
+                Arrays.sort(slotFreeAt, 0, n);
+                return Math.min(n, (int) Math.ceil(need)) - 1;
+            }
+            int first = 0;
+            for (int i = 1; i < n; i++) {
+                first = slotFreeAt[i] < slotFreeAt[first] ? i : first;
+            }
+            return first;
+        }
+
+        private void occupy(double need, double run) {
+            int last = startingSlot(need);
+            double end = slotFreeAt[last] + run;
+            slotFreeAt[last] = end;
+            for (int i = 0; need > 1 && i < last; i++) {
+                slotFreeAt[i] = end;
+            }
+        }
+
+        /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
+        private double unseen() {
+            double sum = 0;
+            double weights = 1;
+            for (int i = 0; i < waits.size(); i++) {
+                double weight = Math.exp((waits.time(i) - now) / OTHERS_MEMORY);
+                sum += weight * waits.first(i);
+                weights += weight;
+            }
+            return sum / weights;
+        }
+
+        /** Equation 3 of the paper for one worker, and the prices that the settings put on the choice. */
+        double admittanceCost(Handle h, double kappa) {
+            double run = h.work / speed();
+            double ownKappa = kappa * speed() * slots();
+            double added = run * h.slots / slots();
+            double value = h.row.value;
+            double fine = ownKappa * (2 * backlogNow * added + added * added);
+            double crossing = listing.zone().equals(settings.zone()) ? 0
+                    : settings.crossZonePrice() * arrivals.meanOfSecond() * h.row.quotedFor(h.work);
+            double risk = failures.countSince(now - FAILURE_MEMORY) / (double) KEPT;
+            return value * (waitNow + run) + fine + crossing + risk * value * h.row.quotedFor(h.work);
+        }
+    }
+
+    // ---- what is kept
+
+    /** One launch, from its sending to its end. */
+    private static final class Launch {
+        final Handle handle;
+        final int number;
+        final Worker worker;
+        /** The list's entry at the send: the cell and zone that a repeat must share. */
+        final Listing place;
+        final double sentAt;
+        double startedAt = -1;
+        double share;
+        double sharedAt;
+        double ownWait;
+        double expectedWait;
+        Outcome outcome;
+        boolean calledOff;
+        boolean rescued;
+
+        Launch(Handle handle, int number, Worker worker, double sentAt) {
+            this.handle = handle;
+            this.number = number;
+            this.worker = worker;
+            this.place = worker.listing;
+            this.sentAt = sentAt;
+        }
+
+        boolean isOut() {
+            return outcome == null;
+        }
+
+        boolean mayHaveRun() {
+            return outcome == null || outcome.mayHaveRun();
+        }
+
+        double remaining(double now, double speed) {
+            double run = handle.work / speed;
+            double had = startedAt > 0 ? now - startedAt : Math.max(0, now - sentAt - expectedWait);
+            return Math.max(run - had, TAIL * had);
+        }
+    }
+
+    /** A row of the table of offerings: what is read of it here. */
+    private static final class Row {
+        final Effect effect;
+        final Group group;
+        final Ids.Model model;
+        final double value;
+        final double window;
+        final double quoted;
+        final double stretch;
+        final Samples hints = new Samples(KEPT_ARRIVALS);
+
+        Row(Settings.Offering o) {
+            effect = o.effect();
+            group = o.group();
+            model = o.model();
+            value = o.value() > 0 ? o.value() : 1;
+            window = o.window();
+            quoted = o.quoted();
+            stretch = o.stretch();
+        }
+
+        /** The hint, or its offering's mean where there is none. */
+        double workOf(double hint) {
+            if (Double.isNaN(hint)) {
+                return hints.meanOfFirst(NO_HINT_YET);
+            }
+            hints.add(0, hint, 0);
+            return hint;
+        }
+
+        double quotedFor(double work) {
+            return quoted + stretch * work;
+        }
+
+        boolean sameGroup(Listing a, Listing b) {
+            return switch (group) {
+                case ALL -> true;
+                case ZONE -> a.zone().equals(b.zone());
+                case CELL -> a.cell().equals(b.cell());
+            };
+        }
+    }
+
+    /** What workers of one model share: a new one's speed, and how many jobs one runs at a time. */
+    private static final class ModelState {
+        final Samples runs = new Samples(KEPT_ARRIVALS);
+        int slots;
+
+        double speed() {
+            return runs.size() > 0 ? runs.sumOfFirst() / runs.sumOfSecond() : STANDARD_SPEED;
+        }
+    }
+
+    /** The last few samples of a measurement, each a time and two figures. */
+    private static final class Samples {
+        private final double[] kept;
+        private int next;
+        private int size;
+
+        Samples(int most) {
+            kept = new double[3 * most];
+        }
+
+        void add(double time, double first, double second) {
+            kept[3 * next] = time;
+            kept[3 * next + 1] = first;
+            kept[3 * next + 2] = second;
+            next = (next + 1) % (kept.length / 3);
+            size = Math.min(size + 1, kept.length / 3);
+        }
+
+        void clear() {
+            next = 0;
+            size = 0;
+        }
+
+        int size() {
+            return size;
+        }
+
+        double time(int i) {
+            return kept[3 * i];
+        }
+
+        double first(int i) {
+            return kept[3 * i + 1];
+        }
+
+        double second(int i) {
+            return kept[3 * i + 2];
+        }
+
+        double sumOfFirst() {
+            double sum = 0;
+            for (int i = 0; i < size; i++) {
+                sum += first(i);
+            }
+            return sum;
+        }
+
+        double sumOfSecond() {
+            double sum = 0;
+            for (int i = 0; i < size; i++) {
+                sum += second(i);
+            }
+            return sum;
+        }
+
+        double meanOfFirst(double none) {
+            double sum = sumOfFirst();
+            return sum > 0 ? sum / size : none;
+        }
+
+        double meanOfSecond() {
+            return size > 0 ? sumOfSecond() / size : 1;
+        }
+
+        private double span(double now) {
+            double oldest = time(size < kept.length / 3 ? 0 : next);
+            return Math.max(now - oldest, 1);
+        }
+
+        double rate(double now) {
+            return size > 0 ? size / span(now) : 0;
+        }
+
+        double rateOfFirst(double now) {
+            return size > 0 ? sumOfFirst() / span(now) : 0;
+        }
+
+        int countSince(double from) {
+            int n = 0;
+            for (int i = 0; i < size; i++) {
+                n += time(i) >= from ? 1 : 0;
+            }
+            return n;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/decision/Settings.java
@@ -0,0 +1,47 @@
+package wheelroute.decision;
+
+import java.util.List;
+import java.util.Map;
+
+/** What an instance is told at its start. Times in seconds; prices in parts of the whole service. */
+public record Settings(
+        long seed,
+        Ids.Zone zone,
+        int dispatchers,
+        double round,
+        List<Offering> offerings,
+        Map<Ids.Tenant, Double> quotas,
+        double overShareValue,
+        boolean listMustBeAsked,
+        boolean tellsStart,
+        double progressEvery,
+        boolean reportsOnProbe,
+        boolean mayProbe,
+        boolean mayCancel,
+        boolean mayCopy,
+        boolean clientsHearRetryAfter,
+        double longestRetryAfter,
+        int mostLaunches,
+        double drainGrace,
+        double coldShare,
+        double coldFor,
+        double tipMultiple,
+        double tipWindow,
+        double crossZonePrice,
+        double wastePrice,
+        double lateScrapPrice) {
+
+    /**
+     * A row of the table of offerings.
+     *
+     * @param quoted answers within this earn full value
+     * @param stretch the quoted time grows by this many times the submission's own work
+     * @param lateValue the part of the value that an answer after the quoted time still earns
+     * @param window how long repeats are known, from the first send that may have run
+     * @param model the one model that runs it, or null for any
+     */
+    public record Offering(Ids.Offering id, Effect effect, Group group, double quoted, double stretch,
+            double outerLimit, double value, double lateValue, double window, boolean streamed,
+            Ids.Model model) {
+    }
+}
