--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -46,6 +46,9 @@
     private static final double SILENCE = 0.5;
     /** Expected times may be out by this factor before silence counts. */
     private static final double SILENCE_FACTOR = 2;
+    /** Copies for silence: so many a submission, saved up to a few. Guards against a jam fed by copies of itself. */
+    private static final double COPIES_EARNED = 0.04;
+    private static final double MOST_COPIES = 6;
     /** Failures within this long count against a worker. */
     private static final double FAILURE_MEMORY = 10;
     /** This many recent failures put a worker on probation; one can befall any. */
@@ -90,6 +93,9 @@
     private final CRC32 crc = new CRC32();
     private long draws;
     private double now;
+    /** How long launches lately waited to start, anywhere. */
+    private final Samples startWaits = new Samples(KEPT_ARRIVALS);
+    private double copiesLeft = MOST_COPIES;
     private int launchesOut;
     private int lockedOut;
     private double watchAgainAt = Double.NaN;
@@ -201,6 +207,7 @@
         }
         Handle handle = new Handle(submission, row);
         arrivals.add(now, handle.work, row.value);
+        copiesLeft = Math.min(MOST_COPIES, copiesLeft + COPIES_EARNED);
         handle.place();
         return handle;
     }
@@ -240,6 +247,7 @@
                 launch.startedAt = now;
                 launch.worker.heard();
                 launch.worker.waits.add(now, Math.max(0, now - launch.sentAt - launch.ownWait), 1);
+                startWaits.add(now, now - launch.sentAt, 0);
                 launch.worker.noteRunning();
             }
         }
@@ -376,17 +384,19 @@
         }
 
         /** A launch that its worker has lost or keeps silent about: again elsewhere, where that may be. */
-        private void rescue(Launch launch) {
+        private boolean rescue(Launch launch) {
             if (launch.rescued || done || streaming) {
-                return;
+                return false;
             }
             launch.rescued = true;
+            int before = launches.size();
             if (settings.mayCopy()) {
                 place();
             } else if (settings.mayCancel() && row.effect == Effect.IDEMPOTENT) {
                 launch.calledOff = true;
                 dispatcher.cancel(submission.id(), launch.number);
             }
+            return launches.size() > before || launch.calledOff;
         }
     }
 
@@ -452,7 +462,8 @@
     /** Guards against a hung or vanished worker, which looks merely busy. */
     private void lookForSilence(Worker w) {
         Launch oldest = w.out.get(0);
-        double expected = oldest.expectedWait;
+        // What others wait is the measure: in a jam every start is late and no worker silent.
+        double expected = Math.max(oldest.expectedWait, startWaits.mostOfFirst());
         if (oldest.startedAt > 0 || !settings.tellsStart()) {
             double run = oldest.handle.work / w.speed();
             expected += settings.progressEvery() > 0 ? settings.progressEvery() : SILENCE_FACTOR * run;
@@ -464,7 +475,11 @@
                 w.failed();
                 w.probation = true;
             }
-            rescueAll(w);
+            for (Launch launch : new ArrayList<>(w.out)) {
+                if (copiesLeft >= 1 && launch.handle.rescue(launch)) {
+                    copiesLeft--;
+                }
+            }
         }
     }
 
@@ -902,6 +917,14 @@
             return sum;
         }
 
+        double mostOfFirst() {
+            double most = 0;
+            for (int i = 0; i < size; i++) {
+                most = Math.max(most, first(i));
+            }
+            return most;
+        }
+
         double meanOfFirst(double none) {
             double sum = sumOfFirst();
             return sum > 0 ? sum / size : none;
