--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -40,6 +40,8 @@
     private static final double TAIL = 0.3;
     /** Others' work seen in a wait or a report is forgotten over this long, about a job or two. */
     private static final double OTHERS_MEMORY = 2;
+    /** Waits that ours do not explain are remembered longer: a worker gets few of our launches a second. */
+    private static final double WAIT_MEMORY = 10;
     /** How often overdue launches are looked for: well under the shortest allowance. */
     private static final double SWEEP = 0.1;
     /** Silence this long past what was expected means trouble: it covers transit and a pause. */
@@ -247,7 +249,7 @@
                 launch.startedAt = now;
                 launch.worker.heard();
                 launch.worker.waits.add(now, Math.max(0, now - launch.sentAt - launch.ownWait), 1);
-                startWaits.add(now, now - launch.sentAt, 0);
+                startWaits.add(now, now - launch.sentAt, Math.max(0, now - launch.sentAt - launch.ownWait));
                 launch.worker.noteRunning();
             }
         }
@@ -743,10 +745,10 @@
 
         /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
         private double unseen() {
-            double sum = 0;
+            double sum = startWaits.size() > 0 ? startWaits.meanOfSecond() : 0;
             double weights = 1;
             for (int i = 0; i < waits.size(); i++) {
-                double weight = Math.exp((waits.time(i) - now) / OTHERS_MEMORY);
+                double weight = Math.exp((waits.time(i) - now) / WAIT_MEMORY);
                 sum += weight * waits.first(i);
                 weights += weight;
             }
