--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -416,8 +416,10 @@
             slotsInAll += w.slots();
         }
         double perSlot = launchesOut / Math.max(1, slotsInAll);
-        double load = Math.min(MOST_LOAD, arrivals.rateOfFirst(now) / Math.max(capacity, STANDARD_SPEED / KEPT));
-        double kappa = arrivals.rate(now) * arrivals.meanOfSecond() / (2 * (1 - load)) / capacity;
+        // All dispatchers' traffic, taken to be like ours: later arrivals at a queue are not ours alone.
+        int senders = Math.max(1, settings.dispatchers());
+        double load = Math.min(MOST_LOAD, senders * arrivals.rateOfFirst(now) / capacity);
+        double kappa = senders * arrivals.rate(now) * arrivals.meanOfSecond() / (2 * (1 - load)) / capacity;
         double least = Double.POSITIVE_INFINITY;
         // The last resorts come in only when nothing better is open: overfull ones, then those on probation.
         for (int resort = 0; resort < 3 && least == Double.POSITIVE_INFINITY; resort++) {
@@ -687,7 +689,7 @@
             for (int i = 0; i < slots(); i++) {
                 sum += slotFreeAt[i];
             }
-            backlogNow = sum / slots();
+            backlogNow = sum / slots() + unseen();
         }
 
         double wait(double need) {
