--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -75,6 +75,8 @@
     private static final double PROBE_EVERY = 1;
     /** Bounced when the best worker would answer later than this many quoted times. */
     private static final double HOPELESS = 1.3;
+    /** But a wait of this part of the quoted time is borne in any case. */
+    private static final double WORTH_WAITING = 0.5;
     /** No worker is taken to run more jobs at once, whatever a report says: the arithmetic must stay bounded. */
     private static final int MOST_SLOTS = 64;
     /** Launches ahead that are followed one by one; what lies behind them counts in bulk. */
@@ -356,8 +358,12 @@
         }
 
         private boolean isHopeless(Worker best) {
-            double answerIn = best.wait(slots) + work / best.speed();
-            return answerIn > HOPELESS * row.quotedFor(work) || now + answerIn > submission.outerLimit();
+            double wait = best.wait(slots);
+            double run = work / best.speed();
+            double quoted = row.quotedFor(work);
+            // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
+            return wait > Math.max(HOPELESS * quoted - run, WORTH_WAITING * quoted)
+                    || wait > 0 && now + wait + run > submission.outerLimit();
         }
 
         private void launchAt(Worker w) {
--- /dev/null
+++ b/src/test/java/wheelroute/AdapterTest.java
@@ -0,0 +1,107 @@
+package wheelroute;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.adapter.Adapter;
+import wheelroute.adapter.WireException;
+
+/** The wire, read and written. */
+public class AdapterTest {
+    private static final String CONF = "CONFIGURE 5 az=a balancers=1 later.key=what membership_mode=push"
+            + " permissions.most_tries=6 request_classes.count=1 request_classes.0.effect=free"
+            + " request_classes.0.hard_limit_us=5000000 request_classes.0.name=job"
+            + " request_classes.0.on_time_us=500000 request_classes.0.worth=2\n";
+    private static final String LIST = "SYNC C 1 1\nROW std 1 a - 77 0 active\n";
+    private static final String ORDER = "ORDER 9 - 1 job - - 5000000 1 20000\n";
+
+    private static String run(String input) throws IOException, WireException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new Adapter(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private static String batch(String events) {
+        return "FRAME 1000\nAT 3\n" + CONF + LIST + events + "YOUR_TURN\n";
+    }
+
+    @DataProvider
+    public Object[][] conversations() {
+        String wake = "SLEEP 100000 w\n";
+        String launched = "TRY 9 77 0\n";
+        return new Object[][] {
+            {"FRAME 8412250\nYOUR_TURN\n", "DONE\n"},
+            {batch(""), "SOURCE 3\n" + wake + "DONE\n"},
+            {batch(ORDER), "SOURCE 3\n" + wake + launched + "DONE\n"},
+            {batch("AT 4\n" + CONF + ORDER), "SOURCE 3\n" + wake + "SOURCE 4\n" + wake
+                + "OVERLOAD_REPLY 9 0\nDONE\n"},
+            {batch(ORDER + "KILLED\n" + CONF + "SYNC C 0 0\n"), "SOURCE 3\n" + wake + launched + wake + "DONE\n"},
+            {batch(ORDER + "FINISHED 9 0 77 200 18500 1 - -\nFINISHED 9 0 77 200 18500 1 - -\nGONE 9\nGONE 8\n"),
+                "SOURCE 3\n" + wake + launched + "DONE\n"},
+            {batch(ORDER + "FINISHED 9 0 77 999 18500 1 0 busy_reqs:1,novelty:3,x0:0.5\n"),
+                "SOURCE 3\n" + wake + launched + "DONE\n"},
+            {batch("ORDER 9 - 2 job f00d someone 5000000 0 -\nUPDATE_OF 9 0 77 1 0\nUPDATE_OF 9 0 77 2 0.5\n"),
+                "SOURCE 3\n" + wake + launched + "DONE\n"},
+            {batch("PROBED 77 408 500 -\nPROBED 78 200 1 x0:1\nMAIL 1 68\nSYNC X - 0\nBELL any thing\n"),
+                "SOURCE 3\n" + wake + wake + "DONE\n"},
+            {batch("SYNC D 2 1\nROW std 1 a - 77 0 left\n" + ORDER),
+                "SOURCE 3\n" + wake + "OVERLOAD_REPLY 9 0\nDONE\n"},
+        };
+    }
+
+    @Test(dataProvider = "conversations")
+    public void answersEachBatch(String input, String expected) throws IOException, WireException {
+        assertEquals(run(input), expected);
+    }
+
+    @DataProvider
+    public Object[][] malformed() {
+        return new Object[][] {
+            // input, words that the message must have
+            {"HELLO\n", "line 1"},
+            {"FRAME x\nYOUR_TURN\n", "time_us"},
+            {"FRAME 1\nAT 3\nORDER 1\nYOUR_TURN\n", "not configured"},
+            {"FRAME 1\nBELL w\nYOUR_TURN\n", "not configured"},
+            {batch("NONSENSE 1\n"), "NONSENSE"},
+            {batch("ORDER 9 - 1 job\n"), "resource"},
+            {batch("ORDER 9 - 1 other - - 5000000 1 20000\n"), "other"},
+            {batch("ORDER nine - 1 job - - 5000000 1 20000\n"), "job"},
+            {batch("GONE 9 9\n"), "follows"},
+            {batch("GONE 99999999999999999999\n"), "whole number"},
+            {batch("SYNC Q 1 0\n"), "form"},
+            {batch("SYNC F 1 2\nROW std 1 a - 77 0 active\n"), "ROW"},
+            {batch("SYNC F 1 1\nROW std 1 a - 77 0 asleep\n"), "readiness"},
+            {batch("PROBED 77 200 5 x0\n"), "load report"},
+            {batch("KILLED\nBELL w\n"), "not configured"},
+            {"FRAME 1\nAT 3\nCONFIGURE 5 az\nYOUR_TURN\n", "path=value"},
+            {"FRAME 1\nAT 3\nCONFIGURE 5 balancers=few\nYOUR_TURN\n", "balancers"},
+            {"FRAME 1\nYOUR_TURN", "ends"},
+            {"FRAME 1\n", "ends"},
+        };
+    }
+
+    @Test(dataProvider = "malformed")
+    public void refusesWhatIsNotTheWire(String input, String words) {
+        String message = expectThrows(WireException.class, () -> run(input)).getMessage();
+        assertTrue(message.contains(words), message);
+    }
+
+    @Test
+    public void readsLinesLongerThanItsBuffer() throws IOException, WireException {
+        StringBuilder list = new StringBuilder("SYNC F 2 5000\n");
+        for (int i = 0; i < 5000; i++) {
+            list.append("ROW std 1 a - ").append(1000 + i).append(" 0 active\n");
+        }
+        String conf = CONF.replace("later.key=what", "later.key=" + "x".repeat(200_000));
+        assertTrue(run("FRAME 1000\nAT 3\n" + conf + list + ORDER + "YOUR_TURN\n").contains("TRY 9 "));
+        assertThrows(WireException.class, () -> run("x".repeat(300_000) + "\n"));
+    }
+}
--- /dev/null
+++ b/src/test/java/wheelroute/RulesTest.java
@@ -0,0 +1,222 @@
+package wheelroute;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.decision.Effect;
+import wheelroute.decision.Group;
+import wheelroute.decision.Listing.Readiness;
+import wheelroute.decision.Outcome;
+import wheelroute.decision.Policy;
+
+/** The four rules, by offering kind, outcome, list and cold worker. */
+public class RulesTest {
+    @DataProvider
+    public Object[][] afterOneOutcome() {
+        return new Object[][] {
+            // effect, group, outcome, what follows while other workers are there
+            {Effect.IDEMPOTENT, Group.CELL, Outcome.ERRED, "launch"},
+            {Effect.IDEMPOTENT, Group.CELL, Outcome.BROKEN_OFF, "launch"},
+            {Effect.IDEMPOTENT, Group.CELL, Outcome.TURNED_AWAY, "launch"},
+            {Effect.IDEMPOTENT, Group.CELL, Outcome.ANSWERED, "launch"},
+            {Effect.DEDUPLICATED, Group.CELL, Outcome.ERRED, "launch"},
+            {Effect.DEDUPLICATED, Group.ALL, Outcome.UNKNOWN, "launch"},
+            {Effect.UNREPEATABLE, Group.CELL, Outcome.TURNED_AWAY, "launch"},
+            {Effect.UNREPEATABLE, Group.CELL, Outcome.UNCONNECTED, "launch"},
+            {Effect.UNREPEATABLE, Group.CELL, Outcome.NEVER_SENT, "launch"},
+            {Effect.UNREPEATABLE, Group.CELL, Outcome.ERRED, "scrap"},
+            {Effect.UNREPEATABLE, Group.CELL, Outcome.TIMED_OUT, "scrap"},
+            {Effect.UNREPEATABLE, Group.CELL, Outcome.BROKEN_OFF, "scrap"},
+            {Effect.UNREPEATABLE, Group.CELL, Outcome.CANCELLED, "scrap"},
+            {Effect.UNREPEATABLE, Group.CELL, Outcome.UNKNOWN, "scrap"},
+        };
+    }
+
+    @Test(dataProvider = "afterOneOutcome")
+    public void whatFollowsAnOutcome(Effect effect, Group group, Outcome outcome, String expected) {
+        World w = World.of(effect, group).list(4);
+        Policy.Handle handle = w.take(0.1);
+        w.pass(0.1).end(handle, 0, outcome);
+        assertTrue(w.last().startsWith(expected), w.did.toString());
+        int launches = outcome == Outcome.ANSWERED || expected.equals("scrap") ? 1 : 2;
+        assertEquals(w.count("launch"), launches, w.did.toString());
+        assertEquals(handle.isOver(), launches == 1);
+    }
+
+    @DataProvider
+    public Object[][] repeats() {
+        return new Object[][] {
+            // group, seconds from the send to the error, second outcome, final word, launches in all
+            {Group.CELL, 0.1, Outcome.ERRED, "scrap", 3},
+            {Group.ZONE, 0.1, Outcome.ERRED, "scrap", 4},
+            {Group.ALL, 0.1, Outcome.ERRED, "bounce", 6},
+            {Group.CELL, 4.6, Outcome.ERRED, "scrap", 1},
+            {Group.ALL, 4.6, Outcome.ERRED, "bounce", 1},
+        };
+    }
+
+    /** Every launch may have run: repeats stay in the group, and within its window less the way there. */
+    @Test(dataProvider = "repeats")
+    public void repeatsStayInTheirGroupAndWindow(Group group, double after, Outcome outcome, String end, int most) {
+        World.Given given = new World.Given();
+        given.effect = Effect.DEDUPLICATED;
+        given.group = group;
+        given.window = 5;
+        World w = new World(given).list(4);
+        Policy.Handle handle = w.take(0.1);
+        final long first = w.lastWorker();
+        w.pass(after);
+        int launch = 0;
+        while (!handle.isOver()) {
+            w.end(handle, launch++, outcome);
+            if (group == Group.CELL && w.lastWorker() > 0) {
+                assertEquals(w.lastWorker() < 3, first < 3, "a repeat left its cell");
+            }
+            if (group == Group.ZONE && w.lastWorker() > 0) {
+                assertEquals(w.lastWorker() == 4, first == 4, "a repeat left its zone");
+            }
+        }
+        assertTrue(w.last().startsWith(end), w.did.toString());
+        assertTrue(w.count("launch") <= Math.max(most, after < 1 ? 6 : 1), w.did.toString());
+        assertEquals(w.count("scrap") + w.count("bounce"), 1, "one final answer");
+    }
+
+    @DataProvider
+    public Object[][] deadEnds() {
+        return new Object[][] {
+            // workers listed, seconds to the outer limit, launches allowed, launches made
+            {0, 10.0, 6, 0},
+            {4, 0.0, 6, 0},
+            {4, -1.0, 6, 0},
+            {4, 10.0, 1, 1},
+            {4, 10.0, 3, 3},
+        };
+    }
+
+    @Test(dataProvider = "deadEnds")
+    public void givesOneAnswerAtOnceAndNothingAfter(int listed, double left, int allowed, int made) {
+        World.Given given = new World.Given();
+        given.mostLaunches = allowed;
+        World w = new World(given).list(listed);
+        Policy.Handle handle = w.take(0.1, w.now + left);
+        for (int i = 0; !handle.isOver(); i++) {
+            w.end(handle, i, Outcome.TURNED_AWAY);
+        }
+        assertEquals(w.count("launch"), made);
+        assertEquals(w.count("bounce"), 1);
+        handle.gone();
+        w.end(handle, 0, Outcome.ERRED);
+        assertEquals(w.count(""), made + 1, w.did.toString());
+    }
+
+    @Test
+    public void theOuterLimitEndsItWithOneAnswer() {
+        World w = World.of(Effect.UNREPEATABLE, Group.CELL).list(4);
+        Policy.Handle handle = w.take(0.1);
+        w.pass(World.LIMIT).end(handle, 0, Outcome.TIMED_OUT);
+        assertEquals(w.count("scrap"), 1);
+        assertTrue(handle.isOver());
+    }
+
+    @Test
+    public void aStartedStreamIsLeftAlone() {
+        World.Given given = new World.Given();
+        given.streamed = true;
+        World w = new World(given).list(4);
+        Policy.Handle handle = w.take(0.1);
+        handle.streaming(0);
+        for (int i = 0; i < 50; i++) {
+            w.pass(0.5).policy.woken();
+        }
+        assertEquals(w.count("launch"), 1);
+        assertFalse(handle.isOver());
+    }
+
+    @DataProvider
+    public Object[][] listNews() {
+        return new Object[][] {{Readiness.LEAVING}, {Readiness.GONE}};
+    }
+
+    @Test(dataProvider = "listNews")
+    public void nothingGoesToAWorkerThatDrainsOrIsGone(Readiness readiness) {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(2).change(1, Double.NaN, readiness);
+        for (int i = 0; i < 20; i++) {
+            w.take(0.01);
+            assertEquals(w.lastWorker(), 2);
+        }
+    }
+
+    @Test
+    public void aWholeListDropsWhoIsNotInIt() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(4).list(1);
+        w.take(0.1);
+        assertEquals(w.lastWorker(), 1);
+        w.list(0).take(0.1);
+        assertTrue(w.last().startsWith("bounce"));
+    }
+
+    @Test
+    public void theListIsAskedForAndAskedAgainAfterAFailure() {
+        World.Given given = new World.Given();
+        given.mustAsk = true;
+        World w = new World(given);
+        assertEquals(w.count("watch"), 1);
+        for (int failure = 1; failure <= 4; failure++) {
+            w.policy.listFailed();
+            w.policy.woken();
+            assertEquals(w.count("watch"), failure, "not again in the same breath");
+            w.pass(9).policy.woken();
+            assertEquals(w.count("watch"), failure + 1, "but before not asking counts as told");
+        }
+    }
+
+    @DataProvider
+    public Object[][] coldBudgets() {
+        return new Object[][] {
+            // dispatchers, seconds since the start, work each, most of it within one window of 3 s
+            // speed and slots are the standard ones here, so the budget is 4 x warmth x 3 s
+            {1, 0.1, 0.3, 12.0 * 0.26},
+            {4, 0.1, 0.3, 12.0 * 0.26 / 4},
+            {4, 0.1, 5.0, 0.0},
+            {1, 10.0, 0.3, 12.0 * 0.64},
+        };
+    }
+
+    @Test(dataProvider = "coldBudgets")
+    public void aColdWorkerGetsNoMoreThanOurShare(int dispatchers, double age, double work, double most) {
+        World.Given given = new World.Given();
+        given.dispatchers = dispatchers;
+        World w = new World(given);
+        w.change(1, w.now - age, Readiness.ACTIVE);
+        double sent = 0;
+        for (int i = 0; i < 100; i++) {
+            Policy.Handle handle = w.take(work);
+            if (w.lastWorker() == 1) {
+                sent += work;
+                // Turned away at once: refused work counts against the budget too.
+                w.end(handle, 0, Outcome.TURNED_AWAY);
+            }
+            w.pass(0.02);
+        }
+        assertTrue(sent <= most, "sent " + sent);
+        assertTrue(most == 0 || sent > 0, "and is not shut out");
+    }
+
+    @Test
+    public void noSecondCopyWhereForbidden() {
+        World.Given given = new World.Given();
+        given.mayCopy = false;
+        World w = new World(given).list(4);
+        Policy.Handle handle = w.take(0.1);
+        for (int i = 0; i < 40; i++) {
+            w.pass(0.1).policy.woken();
+        }
+        assertEquals(w.count("launch"), 1);
+        assertEquals(w.count("cancel"), 1, "the silent launch is called off first");
+        w.end(handle, 0, Outcome.CANCELLED);
+        assertEquals(w.count("launch"), 2);
+    }
+}
--- /dev/null
+++ b/src/test/java/wheelroute/World.java
@@ -0,0 +1,165 @@
+package wheelroute;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import wheelroute.decision.Dispatcher;
+import wheelroute.decision.Effect;
+import wheelroute.decision.Group;
+import wheelroute.decision.Ids;
+import wheelroute.decision.Listing;
+import wheelroute.decision.LoadReport;
+import wheelroute.decision.Outcome;
+import wheelroute.decision.Policy;
+import wheelroute.decision.Settings;
+import wheelroute.decision.Submission;
+
+/** One policy, what it did so far, and short ways to tell it what happens. */
+final class World implements Dispatcher {
+    static final double START = 100;
+    static final double LIMIT = 10;
+
+    /** The settings a case may vary, with plain values to start from. */
+    static final class Given {
+        Effect effect = Effect.IDEMPOTENT;
+        Group group = Group.CELL;
+        double window = 20;
+        boolean mayCopy = true;
+        boolean mustAsk;
+        boolean tellsStart = true;
+        boolean streamed;
+        int mostLaunches = 6;
+        int dispatchers = 1;
+        double retryAfter = 2;
+
+        Settings settings() {
+            return new Settings(7, new Ids.Zone("here"), dispatchers, 0.005, List.of(new Settings.Offering(
+                    new Ids.Offering("job"), effect, group, 1, 2, LIMIT, 3, 0.3, window, streamed, null)),
+                    Map.of(), 1, mustAsk, tellsStart, 0, false, false, true, mayCopy, retryAfter > 0, retryAfter,
+                    mostLaunches, 1, 0.25, 20, 4, 3, 0, 0, 0);
+        }
+    }
+
+    final Policy policy;
+    final List<String> did = new ArrayList<>();
+    double now = START;
+    private long lastId;
+
+    World(Given given) {
+        policy = new Policy(given.settings(), this);
+        policy.at(now);
+    }
+
+    static World of(Effect effect, Group group) {
+        Given given = new Given();
+        given.effect = effect;
+        given.group = group;
+        return new World(given);
+    }
+
+    static Listing worker(long id, long cell, String zone, double startedAt, Listing.Readiness readiness) {
+        return new Listing(new Ids.Worker(id), new Ids.Model("m"), 1, new Ids.Zone(zone), startedAt,
+                new Ids.Cell(cell), readiness);
+    }
+
+    /** Workers 1 and 2 share a cell; 3 shares their zone; 4 is elsewhere. Only the first so many are listed. */
+    World list(int count) {
+        List<Listing> all = List.of(active(1, 1, "here"), active(2, 1, "here"), active(3, 2, "here"),
+                active(4, 3, "there"));
+        policy.listed(all.subList(0, count), true, false);
+        return this;
+    }
+
+    private static Listing active(long id, long cell, String zone) {
+        return worker(id, cell, zone, Double.NaN, Listing.Readiness.ACTIVE);
+    }
+
+    World change(long id, double startedAt, Listing.Readiness readiness) {
+        policy.listed(List.of(worker(id, id < 3 ? 1 : id - 1, id == 4 ? "there" : "here", startedAt, readiness)),
+                false, false);
+        return this;
+    }
+
+    World pass(double seconds) {
+        now += seconds;
+        policy.at(now);
+        return this;
+    }
+
+    Policy.Handle take(double hint) {
+        return take(hint, now + LIMIT);
+    }
+
+    Policy.Handle take(double hint, double outerLimit) {
+        return policy.take(new Submission(new Ids.Submission(++lastId), new Ids.Offering("job"),
+                new Ids.Tenant("t"), outerLimit, hint, 1, 0, false));
+    }
+
+    void end(Policy.Handle handle, int launch, Outcome outcome) {
+        handle.ended(launch, outcome, outcome == Outcome.ANSWERED, LoadReport.NOTHING);
+    }
+
+    /** Runs one submission to its answer: taken, started at once, answered after so long. */
+    long serve(double hint, double run) {
+        did.clear();
+        Policy.Handle handle = take(hint);
+        final long worker = lastWorker();
+        handle.started(0);
+        pass(run);
+        end(handle, 0, Outcome.ANSWERED);
+        return worker;
+    }
+
+    String last() {
+        return did.isEmpty() ? "" : did.get(did.size() - 1);
+    }
+
+    /** The worker of the last launch, or 0 if what was done last is no launch. */
+    long lastWorker() {
+        return last().startsWith("launch ") ? Long.parseLong(last().substring(last().lastIndexOf(' ') + 1)) : 0;
+    }
+
+    long count(String what) {
+        return did.stream().filter(s -> s.startsWith(what)).count();
+    }
+
+    @Override
+    public void launch(Ids.Submission submission, Ids.Worker worker, double limit) {
+        did.add("launch " + submission.value() + " " + worker.value());
+    }
+
+    @Override
+    public void bounce(Ids.Submission submission, double retryAfter) {
+        did.add("bounce " + submission.value());
+    }
+
+    @Override
+    public void scrap(Ids.Submission submission) {
+        did.add("scrap " + submission.value());
+    }
+
+    @Override
+    public void cancel(Ids.Submission submission, int launch) {
+        did.add("cancel " + submission.value() + " " + launch);
+    }
+
+    @Override
+    public void probe(Ids.Worker worker) {
+        did.add("probe " + worker.value());
+    }
+
+    @Override
+    public void wake(double delay) {
+        // Every wake sets the next: of no interest to the cases, which call woken themselves.
+    }
+
+    @Override
+    public void watchList() {
+        did.add("watch");
+    }
+
+    @Override
+    public void tell(int dispatcher, byte[] message) {
+        did.add("tell " + dispatcher);
+    }
+}
