--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -41,7 +41,9 @@
     /** Others' work seen in a wait or a report is forgotten over this long, about a job or two. */
     private static final double OTHERS_MEMORY = 2;
     /** Waits that ours do not explain are remembered longer: a worker gets few of our launches a second. */
-    private static final double WAIT_MEMORY = 10;
+    private static final double WAIT_MEMORY = 5;
+    /** The fleet's mean wait weighs as much as this many of a worker's own samples, which one long job can spoil. */
+    private static final double WAIT_PRIOR = 4;
     /** How often overdue launches are looked for: well under the shortest allowance. */
     private static final double SWEEP = 0.1;
     /** Silence this long past what was expected means trouble: it covers transit and a pause. */
@@ -753,8 +755,8 @@
 
         /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
         private double unseen() {
-            double sum = startWaits.size() > 0 ? startWaits.meanOfSecond() : 0;
-            double weights = 1;
+            double sum = startWaits.size() > 0 ? WAIT_PRIOR * startWaits.meanOfSecond() : 0;
+            double weights = WAIT_PRIOR;
             for (int i = 0; i < waits.size(); i++) {
                 double weight = Math.exp((waits.time(i) - now) / WAIT_MEMORY);
                 sum += weight * waits.first(i);
