Slots counted from settled starts; means worked out once a choice

Symptom: service decays with no entry in any log, workers two thirds busy while launches wait 1 to 2 s. Cause: a start notice that overtakes the end before it made the count of running jobs creep over the true slots, so a full worker looked open.

--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -79,6 +79,8 @@
     private static final double HOPELESS = 1.3;
     /** But a wait of this part of the quoted time is borne in any case. */
     private static final double WORTH_WAITING = 0.5;
+    /** A start this old has seen every earlier end arrive: well over the jitter of a notice. */
+    private static final double SETTLED = 0.05;
     /** No worker is taken to run more jobs at once, whatever a report says: the arithmetic must stay bounded. */
     private static final int MOST_SLOTS = 64;
     /** Launches ahead that are followed one by one; what lies behind them counts in bulk. */
@@ -102,6 +104,10 @@
     /** How long launches lately waited to start, anywhere. */
     private final Samples startWaits = new Samples(KEPT_ARRIVALS);
     private double copiesLeft = MOST_COPIES;
+    /** Worked out once for each choice: the means are asked for at every worker. */
+    private double meanWork = NO_HINT_YET;
+    private double meanValue = 1;
+    private double meanUnseen;
     private int launchesOut;
     private int lockedOut;
     private double watchAgainAt = Double.NaN;
@@ -139,6 +145,7 @@
         }
         for (Worker w : new ArrayList<>(known)) {
             if (!w.out.isEmpty()) {
+                w.noteRunning();
                 lookForSilence(w);
             }
         }
@@ -254,7 +261,6 @@
                 launch.worker.heard();
                 launch.worker.waits.add(now, Math.max(0, now - launch.sentAt - launch.ownWait), 1);
                 startWaits.add(now, now - launch.sentAt, Math.max(0, now - launch.sentAt - launch.ownWait));
-                launch.worker.noteRunning();
             }
         }
 
@@ -414,6 +420,9 @@
 
     /** The worker of least admittance cost; among near ties, one by chance; null when none may be used. */
     private Worker cheapest(Handle h) {
+        meanWork = arrivals.meanOfFirst(NO_HINT_YET);
+        meanValue = arrivals.meanOfSecond();
+        meanUnseen = startWaits.size() > 0 ? startWaits.meanOfSecond() : 0;
         double capacity = 0;
         double slotsInAll = 0;
         lockedOut = 0;
@@ -427,7 +436,7 @@
         // All dispatchers' traffic, taken to be like ours: later arrivals at a queue are not ours alone.
         int senders = Math.max(1, settings.dispatchers());
         double load = Math.min(MOST_LOAD, senders * arrivals.rateOfFirst(now) / capacity);
-        double kappa = senders * arrivals.rate(now) * arrivals.meanOfSecond() / (2 * (1 - load)) / capacity;
+        double kappa = senders * arrivals.rate(now) * meanValue / (2 * (1 - load)) / capacity;
         double least = Double.POSITIVE_INFINITY;
         // The last resorts come in only when nothing better is open: overfull ones, then those on probation.
         for (int resort = 0; resort < 3 && least == Double.POSITIVE_INFINITY; resort++) {
@@ -579,10 +588,11 @@
             }
         }
 
+        /** Guards against a start that overtakes the end before it: counted at once, slots only ever grow. */
         void noteRunning() {
             int running = 0;
             for (Launch launch : out) {
-                running += launch.startedAt > 0 ? (int) launch.handle.slots : 0;
+                running += launch.startedAt > 0 && now - launch.startedAt > SETTLED ? (int) launch.handle.slots : 0;
             }
             model.slots = Math.max(model.slots, running);
         }
@@ -596,7 +606,7 @@
                     if (launch.startedAt > 0 || launch.ownWait == 0) {
                         runs.add(now, launch.handle.work, Math.max(now - from, settings.round()));
                         speedAt = Double.NEGATIVE_INFINITY;
-                        model.runs.add(now, launch.handle.work, Math.max(now - from, settings.round()));
+                        model.ran(now, launch.handle.work, Math.max(now - from, settings.round()));
                     }
                     goodTrials++;
                     if (goodTrials >= GOOD_TRIALS) {
@@ -644,7 +654,7 @@
         /** Learned speed; a worker new to us begins at the others' and nears its own record. */
         double speed() {
             if (now - speedAt > SWEEP) {
-                double prior = PRIOR_JOBS * arrivals.meanOfFirst(NO_HINT_YET);
+                double prior = PRIOR_JOBS * meanWork;
                 double done = prior * model.speed();
                 double took = prior;
                 for (int i = 0; i < runs.size(); i++) {
@@ -718,7 +728,7 @@
             if (withOthers) {
                 double part = Math.max(0, 1 - (now - othersAt) / OTHERS_MEMORY);
                 for (int i = (int) Math.min(FOLLOWED, Math.round(othersHeld * part)); i > 0; i--) {
-                    occupy(1, arrivals.meanOfFirst(NO_HINT_YET) / speed());
+                    occupy(1, meanWork / speed());
                 }
             }
             double rest = workOut;
@@ -755,7 +765,7 @@
 
         /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
         private double unseen() {
-            double sum = startWaits.size() > 0 ? WAIT_PRIOR * startWaits.meanOfSecond() : 0;
+            double sum = WAIT_PRIOR * meanUnseen;
             double weights = WAIT_PRIOR;
             for (int i = 0; i < waits.size(); i++) {
                 double weight = Math.exp((waits.time(i) - now) / WAIT_MEMORY);
@@ -773,7 +783,7 @@
             double value = h.row.value;
             double fine = ownKappa * (2 * backlogNow * added + added * added);
             double crossing = listing.zone().equals(settings.zone()) ? 0
-                    : settings.crossZonePrice() * arrivals.meanOfSecond() * h.row.quotedFor(h.work);
+                    : settings.crossZonePrice() * meanValue * h.row.quotedFor(h.work);
             double risk = failures.countSince(now - FAILURE_MEMORY) / (double) KEPT;
             return value * (waitNow + run) + fine + crossing + risk * value * h.row.quotedFor(h.work);
         }
@@ -869,8 +879,15 @@
         final Samples runs = new Samples(KEPT_ARRIVALS);
         int slots;
 
+        private double speedNow = STANDARD_SPEED;
+
+        void ran(double now, double work, double run) {
+            runs.add(now, work, run);
+            speedNow = runs.sumOfFirst() / runs.sumOfSecond();
+        }
+
         double speed() {
-            return runs.size() > 0 ? runs.sumOfFirst() / runs.sumOfSecond() : STANDARD_SPEED;
+            return speedNow;
         }
     }
 
