--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -1,5 +1,6 @@
 package wheelroute.decision;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -85,6 +86,8 @@
     private static final int MOST_SLOTS = 64;
     /** Launches ahead that are followed one by one; what lies behind them counts in bulk. */
     private static final int FOLLOWED = 24;
+    /** Hints are believed until runs say otherwise: as much as a handful of well-hinted jobs would. */
+    private static final double HINT_PRIOR = 4;
     private static final double STANDARD_SPEED = 1;
     private static final double NO_HINT_YET = 1;
 
@@ -195,7 +198,7 @@
         fleet.sort(Worker.BY_ID);
         lost.sort(Worker.BY_ID);
         for (Worker w : lost) {
-            rescueAll(w);
+            rescueAll(w, true);
         }
         workers.values().removeIf(w -> !w.ready && w.out.isEmpty());
         known.clear();
@@ -267,8 +270,6 @@
         public void progressed(int number, double share) {
             Launch launch = launch(number);
             if (launch != null && launch.isOut()) {
-                launch.share = share;
-                launch.sharedAt = now;
                 launch.worker.heard();
             }
         }
@@ -331,28 +332,28 @@
                     || now > submission.outerLimit() - LAST_CALL || out > 0 && !settings.mayCopy()) {
                 return false;
             }
-            return row.effect != Effect.UNREPEATABLE || !mayHaveRun();
+            return row.of.effect() != Effect.UNREPEATABLE || !mayHaveRun();
         }
 
         /** Rule 2 for deduplicated submissions: only where, and while, the repeat is known as one. */
         private boolean mayGoTo(Worker w) {
-            boolean guarded = row.effect == Effect.DEDUPLICATED;
+            boolean guarded = row.of.effect() == Effect.DEDUPLICATED;
             for (Launch launch : launches) {
                 if (launch.worker == w && (launch.isOut() || launch.outcome == Outcome.TURNED_AWAY)) {
                     return false;
                 }
-                if (guarded && launch.mayHaveRun() && (now > launch.sentAt + row.window - TRANSIT
+                if (guarded && launch.mayHaveRun() && (now > launch.sentAt + row.of.window() - TRANSIT
                         || !row.sameGroup(launch.place, w.listing))) {
                     return false;
                 }
             }
-            return row.model == null || row.model.equals(w.listing.model());
+            return row.of.model() == null || row.of.model().equals(w.listing.model());
         }
 
         /** Rule 2: a bounce tells the client that a retry does no harm. */
         private boolean mayBounce() {
-            return !mayHaveRun() || row.effect == Effect.IDEMPOTENT
-                    || row.effect == Effect.DEDUPLICATED && row.group == Group.ALL;
+            return !mayHaveRun() || row.of.effect() == Effect.IDEMPOTENT
+                    || row.of.effect() == Effect.DEDUPLICATED && row.of.group() == Group.ALL;
         }
 
         /** Sends it to the cheapest worker, or gives it up at once if nothing is left to wait for. */
@@ -408,7 +409,7 @@
             int before = launches.size();
             if (settings.mayCopy()) {
                 place();
-            } else if (settings.mayCancel() && row.effect == Effect.IDEMPOTENT) {
+            } else if (settings.mayCancel() && row.of.effect() == Effect.IDEMPOTENT) {
                 launch.calledOff = true;
                 dispatcher.cancel(submission.id(), launch.number);
             }
@@ -467,14 +468,7 @@
 
     private double chance() {
         crc.reset();
-        long v = settings.seed();
-        for (int i = 0; i < Long.BYTES; i++) {
-            crc.update((int) (v >>> 8 * i));
-        }
-        draws++;
-        for (int i = 0; i < Long.BYTES; i++) {
-            crc.update((int) (draws >>> 8 * i));
-        }
+        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(settings.seed()).putLong(++draws).flip());
         return crc.getValue() / (double) (1L << Integer.SIZE);
     }
 
@@ -496,17 +490,15 @@
                 w.failed();
                 w.probation = true;
             }
-            for (Launch launch : new ArrayList<>(w.out)) {
-                if (copiesLeft >= 1 && launch.handle.rescue(launch)) {
-                    copiesLeft--;
-                }
-            }
+            rescueAll(w, false);
         }
     }
 
-    private void rescueAll(Worker w) {
+    private void rescueAll(Worker w, boolean lost) {
         for (Launch launch : new ArrayList<>(w.out)) {
-            launch.handle.rescue(launch);
+            if ((lost || copiesLeft >= 1) && launch.handle.rescue(launch)) {
+                copiesLeft -= lost ? 0 : 1;
+            }
         }
     }
 
@@ -607,6 +599,8 @@
                         runs.add(now, launch.handle.work, Math.max(now - from, settings.round()));
                         speedAt = Double.NEGATIVE_INFINITY;
                         model.ran(now, launch.handle.work, Math.max(now - from, settings.round()));
+                        launch.handle.row.learn(launch.handle.submission.hint(),
+                                Math.max(now - from, settings.round()) * speed());
                     }
                     goodTrials++;
                     if (goodTrials >= GOOD_TRIALS) {
@@ -644,7 +638,7 @@
             if (!probation || lockedOut > MOST_LOCKED_OUT * fleet.size()) {
                 return true;
             }
-            return now >= trialAt && out.isEmpty() && h.row.effect != Effect.UNREPEATABLE;
+            return now >= trialAt && out.isEmpty() && h.row.of.effect() != Effect.UNREPEATABLE;
         }
 
         int slots() {
@@ -800,8 +794,6 @@
         final Listing place;
         final double sentAt;
         double startedAt = -1;
-        double share;
-        double sharedAt;
         double ownWait;
         double expectedWait;
         Outcome outcome;
@@ -831,42 +823,62 @@
         }
     }
 
-    /** A row of the table of offerings: what is read of it here. */
+    /** A row of the table of offerings: its settings, and what its hints were worth lately. */
     private static final class Row {
-        final Effect effect;
-        final Group group;
-        final Ids.Model model;
+        final Settings.Offering of;
         final double value;
-        final double window;
-        final double quoted;
-        final double stretch;
+        /** Logarithms of hints, and of the work that the same jobs turned out to be. */
+        final Samples told = new Samples(KEPT_ARRIVALS);
         final Samples hints = new Samples(KEPT_ARRIVALS);
+        private double slope = 1;
+        private double middle;
+        private double scale = 1;
 
-        Row(Settings.Offering o) {
-            effect = o.effect();
-            group = o.group();
-            model = o.model();
-            value = o.value() > 0 ? o.value() : 1;
-            window = o.window();
-            quoted = o.quoted();
-            stretch = o.stretch();
+        Row(Settings.Offering of) {
+            this.of = of;
+            value = of.value() > 0 ? of.value() : 1;
         }
 
-        /** The hint, or its offering's mean where there is none. */
+        /** The hint, drawn towards its offering's middle as far as hints lately misled; their mean if none. */
         double workOf(double hint) {
             if (Double.isNaN(hint)) {
                 return hints.meanOfFirst(NO_HINT_YET);
             }
             hints.add(0, hint, 0);
-            return hint;
+            return hint > 0 && slope < 1 ? scale * Math.exp(slope * (Math.log(hint) - middle)) : hint;
+        }
+
+        /** Guards against rough hints taken at their word: the slope of work on hint says how far to trust them. */
+        void learn(double hint, double work) {
+            if (!(hint > 0)) {
+                return;
+            }
+            told.add(0, Math.log(hint), Math.log(work));
+            double n = told.size();
+            middle = told.sumOfFirst() / n;
+            double meanWork = told.sumOfSecond() / n;
+            double both = HINT_PRIOR;
+            double own = HINT_PRIOR;
+            for (int i = 0; i < n; i++) {
+                both += (told.first(i) - middle) * (told.second(i) - meanWork);
+                own += (told.first(i) - middle) * (told.first(i) - middle);
+            }
+            slope = Math.max(0, Math.min(1, both / own));
+            double drawn = 0;
+            double plain = 0;
+            for (int i = 0; i < n; i++) {
+                drawn += Math.exp(slope * (told.first(i) - middle));
+                plain += Math.exp(told.first(i));
+            }
+            scale = plain / drawn;
         }
 
         double quotedFor(double work) {
-            return quoted + stretch * work;
+            return of.quoted() + of.stretch() * work;
         }
 
         boolean sameGroup(Listing a, Listing b) {
-            return switch (group) {
+            return switch (of.group()) {
                 case ALL -> true;
                 case ZONE -> a.zone().equals(b.zone());
                 case CELL -> a.cell().equals(b.cell());
@@ -890,98 +902,4 @@
             return speedNow;
         }
     }
-
-    /** The last few samples of a measurement, each a time and two figures. */
-    private static final class Samples {
-        private final double[] kept;
-        private int next;
-        private int size;
-
-        Samples(int most) {
-            kept = new double[3 * most];
-        }
-
-        void add(double time, double first, double second) {
-            kept[3 * next] = time;
-            kept[3 * next + 1] = first;
-            kept[3 * next + 2] = second;
-            next = (next + 1) % (kept.length / 3);
-            size = Math.min(size + 1, kept.length / 3);
-        }
-
-        void clear() {
-            next = 0;
-            size = 0;
-        }
-
-        int size() {
-            return size;
-        }
-
-        double time(int i) {
-            return kept[3 * i];
-        }
-
-        double first(int i) {
-            return kept[3 * i + 1];
-        }
-
-        double second(int i) {
-            return kept[3 * i + 2];
-        }
-
-        double sumOfFirst() {
-            double sum = 0;
-            for (int i = 0; i < size; i++) {
-                sum += first(i);
-            }
-            return sum;
-        }
-
-        double sumOfSecond() {
-            double sum = 0;
-            for (int i = 0; i < size; i++) {
-                sum += second(i);
-            }
-            return sum;
-        }
-
-        double mostOfFirst() {
-            double most = 0;
-            for (int i = 0; i < size; i++) {
-                most = Math.max(most, first(i));
-            }
-            return most;
-        }
-
-        double meanOfFirst(double none) {
-            double sum = sumOfFirst();
-            return sum > 0 ? sum / size : none;
-        }
-
-        double meanOfSecond() {
-            return size > 0 ? sumOfSecond() / size : 1;
-        }
-
-        private double span(double now) {
-            double oldest = time(size < kept.length / 3 ? 0 : next);
-            return Math.max(now - oldest, 1);
-        }
-
-        double rate(double now) {
-            return size > 0 ? size / span(now) : 0;
-        }
-
-        double rateOfFirst(double now) {
-            return size > 0 ? sumOfFirst() / span(now) : 0;
-        }
-
-        int countSince(double from) {
-            int n = 0;
-            for (int i = 0; i < size; i++) {
-                n += time(i) >= from ? 1 : 0;
-            }
-            return n;
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/wheelroute/decision/Samples.java
@@ -0,0 +1,95 @@
+package wheelroute.decision;
+
+/** The last few samples of a measurement, each a time and two figures. */
+final class Samples {
+    private final double[] kept;
+    private int next;
+    private int size;
+
+    Samples(int most) {
+        kept = new double[3 * most];
+    }
+
+    void add(double time, double first, double second) {
+        kept[3 * next] = time;
+        kept[3 * next + 1] = first;
+        kept[3 * next + 2] = second;
+        next = (next + 1) % (kept.length / 3);
+        size = Math.min(size + 1, kept.length / 3);
+    }
+
+    void clear() {
+        next = 0;
+        size = 0;
+    }
+
+    int size() {
+        return size;
+    }
+
+    double time(int i) {
+        return kept[3 * i];
+    }
+
+    double first(int i) {
+        return kept[3 * i + 1];
+    }
+
+    double second(int i) {
+        return kept[3 * i + 2];
+    }
+
+    private double sum(int figure) {
+        double sum = 0;
+        for (int i = 0; i < size; i++) {
+            sum += kept[3 * i + figure];
+        }
+        return sum;
+    }
+
+    double sumOfFirst() {
+        return sum(1);
+    }
+
+    double sumOfSecond() {
+        return sum(2);
+    }
+
+    double mostOfFirst() {
+        double most = 0;
+        for (int i = 0; i < size; i++) {
+            most = Math.max(most, first(i));
+        }
+        return most;
+    }
+
+    double meanOfFirst(double none) {
+        double sum = sumOfFirst();
+        return sum > 0 ? sum / size : none;
+    }
+
+    double meanOfSecond() {
+        return size > 0 ? sumOfSecond() / size : 1;
+    }
+
+    private double span(double now) {
+        double oldest = time(size < kept.length / 3 ? 0 : next);
+        return Math.max(now - oldest, 1);
+    }
+
+    double rate(double now) {
+        return size > 0 ? size / span(now) : 0;
+    }
+
+    double rateOfFirst(double now) {
+        return size > 0 ? sumOfFirst() / span(now) : 0;
+    }
+
+    int countSince(double from) {
+        int n = 0;
+        for (int i = 0; i < size; i++) {
+            n += time(i) >= from ? 1 : 0;
+        }
+        return n;
+    }
+}
