--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -62,7 +62,7 @@
     private static final int GOOD_TRIALS = 3;
     private static final double FIRST_PAUSE = 0.5;
     private static final double LONGEST_PAUSE = 4;
-    /** At most this part of the workers is locked out at once; past that the trouble is not the workers'. */
+    /** At most this part is locked out for silence at once; past that the trouble is not the workers'. */
     private static final double MOST_LOCKED_OUT = 0.5;
     /** A worker that turned a launch away is left alone this long: about a job's time. */
     private static final double FULL_PAUSE = 0.3;
@@ -429,7 +429,7 @@
         lockedOut = 0;
         for (Worker w : fleet) {
             w.figure(h.slots);
-            lockedOut += w.probation ? 1 : 0;
+            lockedOut += w.probation && w.silent ? 1 : 0;
             capacity += w.speed() * w.slots();
             slotsInAll += w.slots();
         }
@@ -617,7 +617,12 @@
                     heard();
                     failed();
                 }
-                case BROKEN_OFF, UNCONNECTED, UNKNOWN -> failed();
+                case UNCONNECTED -> {
+                    // Dead, cut off or out of connections: none of them passes within a moment.
+                    fullUntil = now + FULL_PAUSE;
+                    failed();
+                }
+                case BROKEN_OFF, UNKNOWN -> failed();
                 default -> {
                 }
             }
@@ -635,7 +640,7 @@
 
         /** Probation: one launch at a time, after a pause, and only of what may be tried again. */
         boolean takesTrial(Handle h) {
-            if (!probation || lockedOut > MOST_LOCKED_OUT * fleet.size()) {
+            if (!probation || silent && lockedOut > MOST_LOCKED_OUT * fleet.size()) {
                 return true;
             }
             return now >= trialAt && out.isEmpty() && h.row.of.effect() != Effect.UNREPEATABLE;
