--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -371,8 +371,17 @@
             double run = work / best.speed();
             double quoted = row.quotedFor(work);
             // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
-            return wait > Math.max(HOPELESS * quoted - run, WORTH_WAITING * quoted)
-                    || wait > 0 && now + wait + run > submission.outerLimit();
+            double borne = Math.max(HOPELESS * quoted - run, WORTH_WAITING * quoted);
+            return wait > Math.min(borne, patience() * row.value) || wait > 0 && now + wait + run > submission.outerLimit();
+        }
+
+        /** The wait, a unit of value, that the least patient offering bears; no offering may fill queues past it. */
+        private double patience() {
+            double least = Double.POSITIVE_INFINITY;
+            for (Row other : rows.values()) {
+                least = Math.min(least, other.patience());
+            }
+            return least;
         }
 
         private void launchAt(Worker w) {
@@ -882,6 +891,12 @@
             return of.quoted() + of.stretch() * work;
         }
 
+        /** Guards against patient offerings filling the queues of an overload, where the others then starve. */
+        double patience() {
+            double work = hints.meanOfFirst(NO_HINT_YET);
+            return (HOPELESS * quotedFor(work) - work) / value;
+        }
+
         boolean sameGroup(Listing a, Listing b) {
             return switch (of.group()) {
                 case ALL -> true;
