--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -88,6 +88,8 @@
     private static final int FOLLOWED = 24;
     /** Hints are believed until runs say otherwise: as much as a handful of well-hinted jobs would. */
     private static final double HINT_PRIOR = 4;
+    /** Being late is taken to lose at least this part of the value, where settings say it loses none. */
+    private static final double LEAST_LOSS = 0.1;
     private static final double STANDARD_SPEED = 1;
     private static final double NO_HINT_YET = 1;
 
@@ -369,10 +371,8 @@
         private boolean isHopeless(Worker best) {
             double wait = best.wait(slots);
             double run = work / best.speed();
-            double quoted = row.quotedFor(work);
             // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
-            double borne = Math.max(HOPELESS * quoted - run, WORTH_WAITING * quoted);
-            return wait > Math.min(borne, patience() * row.value) || wait > 0 && now + wait + run > submission.outerLimit();
+            return wait > Math.min(row.borne(work, run), patience() * row.value) || wait > 0 && now + wait + run > submission.outerLimit();
         }
 
         /** The wait, a unit of value, that the least patient offering bears; no offering may fill queues past it. */
@@ -790,8 +790,9 @@
             double added = run * h.slots / slots();
             double value = h.row.value;
             double fine = ownKappa * (2 * backlogNow * added + added * added);
-            double crossing = listing.zone().equals(settings.zone()) ? 0
-                    : settings.crossZonePrice() * meanValue * h.row.quotedFor(h.work);
+            // A price in value, put in the cost's own coin: the wait by which lateness would cost as much.
+            double crossing = listing.zone().equals(settings.zone()) ? 0 : settings.crossZonePrice() * meanValue
+                    * h.row.quotedFor(h.work) / Math.max(LEAST_LOSS, 1 - h.row.of.lateValue());
             double risk = failures.countSince(now - FAILURE_MEMORY) / (double) KEPT;
             return value * (waitNow + run) + fine + crossing + risk * value * h.row.quotedFor(h.work);
         }
@@ -894,7 +895,11 @@
         /** Guards against patient offerings filling the queues of an overload, where the others then starve. */
         double patience() {
             double work = hints.meanOfFirst(NO_HINT_YET);
-            return (HOPELESS * quotedFor(work) - work) / value;
+            return borne(work, work) / value;
+        }
+
+        double borne(double work, double run) {
+            return Math.max(HOPELESS * quotedFor(work) - run, WORTH_WAITING * quotedFor(work));
         }
 
         boolean sameGroup(Listing a, Listing b) {
