--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -432,7 +432,7 @@
     private Worker cheapest(Handle h) {
         meanWork = arrivals.meanOfFirst(NO_HINT_YET);
         meanValue = arrivals.meanOfSecond();
-        meanUnseen = startWaits.size() > 0 ? startWaits.meanOfSecond() : 0;
+        meanUnseen = usualUnseen();
         double capacity = 0;
         double slotsInAll = 0;
         lockedOut = 0;
@@ -461,6 +461,18 @@
         return least == Double.POSITIVE_INFINITY ? null : drawAmong(least * (1 + TIE_BAND));
     }
 
+    /** Guards against bouncing on old waits: once nothing is launched no new wait is seen, so old ones must fade. */
+    private double usualUnseen() {
+        double sum = 0;
+        double weights = WAIT_PRIOR;
+        for (int i = 0; i < startWaits.size(); i++) {
+            double weight = Math.max(0, 1 - (now - startWaits.time(i)) / WAIT_MEMORY);
+            sum += weight * startWaits.second(i);
+            weights += weight;
+        }
+        return sum / weights;
+    }
+
     private Worker drawAmong(double most) {
         int tied = 0;
         for (Worker w : fleet) {
