--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -43,6 +43,8 @@
     private static final double OTHERS_MEMORY = 2;
     /** Waits that ours do not explain are remembered longer: a worker gets few of our launches a second. */
     private static final double WAIT_MEMORY = 5;
+    /** A bounce needs evidence this fresh: queues can empty faster than old waits are forgotten. */
+    private static final double FRESH = 1.5;
     /** The fleet's mean wait weighs as much as this many of a worker's own samples, which one long job can spoil. */
     private static final double WAIT_PRIOR = 4;
     /** How often overdue launches are looked for: well under the shortest allowance. */
@@ -369,7 +371,7 @@
         }
 
         private boolean isHopeless(Worker best) {
-            double wait = best.wait(slots);
+            double wait = best.waitBehind(slots, true) + best.unseen(FRESH, usualUnseen(FRESH));
             double run = work / best.speed();
             // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
             return wait > Math.min(row.borne(work, run), patience() * row.value) || wait > 0 && now + wait + run > submission.outerLimit();
@@ -432,7 +434,7 @@
     private Worker cheapest(Handle h) {
         meanWork = arrivals.meanOfFirst(NO_HINT_YET);
         meanValue = arrivals.meanOfSecond();
-        meanUnseen = usualUnseen();
+        meanUnseen = usualUnseen(WAIT_MEMORY);
         double capacity = 0;
         double slotsInAll = 0;
         lockedOut = 0;
@@ -462,11 +464,11 @@
     }
 
     /** Guards against bouncing on old waits: once nothing is launched no new wait is seen, so old ones must fade. */
-    private double usualUnseen() {
+    private double usualUnseen(double memory) {
         double sum = 0;
         double weights = WAIT_PRIOR;
         for (int i = 0; i < startWaits.size(); i++) {
-            double weight = Math.max(0, 1 - (now - startWaits.time(i)) / WAIT_MEMORY);
+            double weight = Math.max(0, 1 - (now - startWaits.time(i)) / memory);
             sum += weight * startWaits.second(i);
             weights += weight;
         }
@@ -727,11 +729,11 @@
             for (int i = 0; i < slots(); i++) {
                 sum += slotFreeAt[i];
             }
-            backlogNow = sum / slots() + unseen();
+            backlogNow = sum / slots() + unseen(WAIT_MEMORY, meanUnseen);
         }
 
         double wait(double need) {
-            return waitBehind(need, true) + unseen();
+            return waitBehind(need, true) + unseen(WAIT_MEMORY, meanUnseen);
         }
 
         double ownWait(double need) {
@@ -784,11 +786,11 @@
         }
 
         /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
-        private double unseen() {
-            double sum = WAIT_PRIOR * meanUnseen;
+        private double unseen(double memory, double usual) {
+            double sum = WAIT_PRIOR * usual;
             double weights = WAIT_PRIOR;
             for (int i = 0; i < waits.size(); i++) {
-                double weight = Math.exp((waits.time(i) - now) / WAIT_MEMORY);
+                double weight = Math.exp((waits.time(i) - now) / memory);
                 sum += weight * waits.first(i);
                 weights += weight;
             }
