--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -39,8 +39,6 @@
     private static final double OVERFULL_SPARE = 1;
     /** A job past its expected end is taken to need this part of what it has had: job sizes are heavy-tailed. */
     private static final double TAIL = 0.3;
-    /** Others' work seen in a wait or a report is forgotten over this long, about a job or two. */
-    private static final double OTHERS_MEMORY = 2;
     /** Waits that ours do not explain are remembered longer: a worker gets few of our launches a second. */
     private static final double WAIT_MEMORY = 5;
     /** A bounce needs evidence this fresh: queues can empty faster than old waits are forgotten. */
@@ -371,7 +369,7 @@
         }
 
         private boolean isHopeless(Worker best) {
-            double wait = best.waitBehind(slots, true) + best.unseen(FRESH, usualUnseen(FRESH));
+            double wait = best.ownWait(slots) + best.unseen(FRESH, usualUnseen(FRESH));
             double run = work / best.speed();
             // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
             return wait > Math.min(row.borne(work, run), patience() * row.value) || wait > 0 && now + wait + run > submission.outerLimit();
@@ -549,8 +547,6 @@
         int goodTrials;
         double trialAt = Double.NEGATIVE_INFINITY;
         double pause = FIRST_PAUSE;
-        double othersHeld;
-        double othersAt = Double.NEGATIVE_INFINITY;
         double cost;
         private double[] slotFreeAt = new double[1];
         private double speedNow;
@@ -587,20 +583,13 @@
             silent = false;
         }
 
+        /** Reports tell of slots only: by their queues, all dispatchers herd on what was idle a second ago. */
         void reported(LoadReport report) {
             if (!Double.isNaN(report.freeSlots())) {
                 double running = Double.isNaN(report.held()) || Double.isNaN(report.waiting())
                         ? 0 : report.held() - report.waiting();
                 model.slots = Math.max(model.slots, (int) Math.round(report.freeSlots() + Math.max(0, running)));
             }
-            double held = report.held();
-            if (Double.isNaN(held) && !Double.isNaN(report.freeSlots())) {
-                held = slots() - report.freeSlots() + (Double.isNaN(report.waiting()) ? 0 : report.waiting());
-            }
-            if (!Double.isNaN(held)) {
-                othersHeld = Math.max(0, held - out.size());
-                othersAt = now;
-            }
         }
 
         /** Guards against a start that overtakes the end before it: counted at once, slots only ever grow. */
@@ -733,26 +722,16 @@
         }
 
         double wait(double need) {
-            return waitBehind(need, true) + unseen(WAIT_MEMORY, meanUnseen);
+            return ownWait(need) + unseen(WAIT_MEMORY, meanUnseen);
         }
 
+        /** How long until a job starts that comes after ours. */
         double ownWait(double need) {
-            return waitBehind(need, false);
-        }
-
-        /** How long until a job starts that comes after ours, and after others' that reports show. */
-        private double waitBehind(double need, boolean withOthers) {
             int n = slots();
             if (slotFreeAt.length < n) {
                 slotFreeAt = new double[n];
             }
             Arrays.fill(slotFreeAt, 0);
-            if (withOthers) {
-                double part = Math.max(0, 1 - (now - othersAt) / OTHERS_MEMORY);
-                for (int i = (int) Math.min(FOLLOWED, Math.round(othersHeld * part)); i > 0; i--) {
-                    occupy(1, meanWork / speed());
-                }
-            }
             double rest = workOut;
             for (int i = 0; i < Math.min(out.size(), FOLLOWED); i++) {
                 Launch launch = out.get(i);
