--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -75,7 +75,6 @@
     /** A failed watch is asked for again after this long, doubling up to the last. */
     private static final double FIRST_ASK = 0.5;
     private static final double LONGEST_ASK = 4;
-    private static final double PROBE_EVERY = 1;
     /** Bounced when the best worker would answer later than this many quoted times. */
     private static final double HOPELESS = 1.3;
     /** But a wait of this part of the quoted time is borne in any case. */
@@ -117,7 +116,6 @@
     private int lockedOut;
     private double watchAgainAt = Double.NaN;
     private double askPause = FIRST_ASK;
-    private double probeAt;
     private boolean begun;
 
     public Policy(Settings settings, Dispatcher dispatcher) {
@@ -154,12 +152,6 @@
                 lookForSilence(w);
             }
         }
-        if (settings.mayProbe() && settings.reportsOnProbe() && now >= probeAt) {
-            probeAt = now + PROBE_EVERY;
-            for (Worker w : fleet) {
-                dispatcher.probe(w.id);
-            }
-        }
     }
 
     /** A failed or broken watch: the old list still holds, but not hearing of a drain is no excuse. */
@@ -583,12 +575,11 @@
             silent = false;
         }
 
-        /** Reports tell of slots only: by their queues, all dispatchers herd on what was idle a second ago. */
+        /** Reports tell of slots only: by their queues, all dispatchers herd on what was idle a second ago.
+         * Free slots alone: jobs running and slots free are not of one moment, and their sum overstates. */
         void reported(LoadReport report) {
             if (!Double.isNaN(report.freeSlots())) {
-                double running = Double.isNaN(report.held()) || Double.isNaN(report.waiting())
-                        ? 0 : report.held() - report.waiting();
-                model.slots = Math.max(model.slots, (int) Math.round(report.freeSlots() + Math.max(0, running)));
+                model.slots = Math.max(model.slots, (int) Math.round(report.freeSlots()));
             }
         }
 
