--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -764,7 +764,17 @@
                 sum += weight * waits.first(i);
                 weights += weight;
             }
-            return sum / weights;
+            return Math.max(sum / weights, overdue());
+        }
+
+        /** Guards against sending on into a queue that has stopped: a launch still waiting tells before any start. */
+        private double overdue() {
+            for (int i = 0; i < out.size() && settings.tellsStart(); i++) {
+                if (!(out.get(i).startedAt > 0)) {
+                    return now - out.get(i).sentAt - out.get(i).ownWait;
+                }
+            }
+            return 0;
         }
 
         /** Equation 3 of the paper for one worker, and the prices that the settings put on the choice. */
