--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -788,7 +788,10 @@
             double crossing = listing.zone().equals(settings.zone()) ? 0 : settings.crossZonePrice() * meanValue
                     * h.row.quotedFor(h.work) / Math.max(LEAST_LOSS, 1 - h.row.of.lateValue());
             double risk = failures.countSince(now - FAILURE_MEMORY) / (double) KEPT;
-            return value * (waitNow + run) + fine + crossing + risk * value * h.row.quotedFor(h.work);
+            double slack = Math.max(0, h.row.quotedFor(h.work) - run);
+            // What the linear cost does not see: a wait near the slack loses the value, a longer run within it nothing.
+            double late = Math.exp(-slack / Math.max(waitNow, settings.round()));
+            return value * (waitNow + run) + fine + crossing + (risk + late) * value * h.row.quotedFor(h.work);
         }
     }
 
