--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -75,12 +75,14 @@
     /** A failed watch is asked for again after this long, doubling up to the last. */
     private static final double FIRST_ASK = 0.5;
     private static final double LONGEST_ASK = 4;
-    /** Bounced when the best worker would answer later than this many quoted times. */
-    private static final double HOPELESS = 1.3;
+    /** Bounced when the wait at the best worker would take the answer past this many quoted times. */
+    private static final double HOPELESS = 1;
     /** But a wait of this part of the quoted time is borne in any case. */
     private static final double WORTH_WAITING = 0.5;
     /** A start this old has seen every earlier end arrive: well over the jitter of a notice. */
     private static final double SETTLED = 0.05;
+    /** A slack of this many waits is never outlasted, for all that matters. */
+    private static final double CERTAIN = 8;
     /** No worker is taken to run more jobs at once, whatever a report says: the arithmetic must stay bounded. */
     private static final int MOST_SLOTS = 64;
     /** Launches ahead that are followed one by one; what lies behind them counts in bulk. */
@@ -479,6 +481,12 @@
         return null;
     }
 
+    /** An exponential's start without its price: figures are worked out anew at every worker and choice. */
+    private static double fade(double age, double memory) {
+        double x = age / memory;
+        return 1 / (1 + x + x * x / 2);
+    }
+
     private double chance() {
         crc.reset();
         crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(settings.seed()).putLong(++draws).flip());
@@ -660,7 +668,7 @@
                 double done = prior * model.speed();
                 double took = prior;
                 for (int i = 0; i < runs.size(); i++) {
-                    double weight = Math.exp((runs.time(i) - now) / SPEED_MEMORY);
+                    double weight = fade(now - runs.time(i), SPEED_MEMORY);
                     done += weight * runs.first(i);
                     took += weight * runs.second(i);
                 }
@@ -704,12 +712,13 @@
 
         /** Works out the wait and the backlog once for the costs that follow. */
         void figure(double need) {
-            waitNow = wait(need);
+            double unseen = unseen(WAIT_MEMORY, meanUnseen);
+            waitNow = ownWait(need) + unseen;
             double sum = 0;
             for (int i = 0; i < slots(); i++) {
                 sum += slotFreeAt[i];
             }
-            backlogNow = sum / slots() + unseen(WAIT_MEMORY, meanUnseen);
+            backlogNow = sum / slots() + unseen;
         }
 
         double wait(double need) {
@@ -760,7 +769,7 @@
             double sum = WAIT_PRIOR * usual;
             double weights = WAIT_PRIOR;
             for (int i = 0; i < waits.size(); i++) {
-                double weight = Math.exp((waits.time(i) - now) / memory);
+                double weight = fade(now - waits.time(i), memory);
                 sum += weight * waits.first(i);
                 weights += weight;
             }
@@ -790,7 +799,7 @@
             double risk = failures.countSince(now - FAILURE_MEMORY) / (double) KEPT;
             double slack = Math.max(0, h.row.quotedFor(h.work) - run);
             // What the linear cost does not see: a wait near the slack loses the value, a longer run within it nothing.
-            double late = Math.exp(-slack / Math.max(waitNow, settings.round()));
+            double late = waitNow * CERTAIN < slack ? 0 : Math.exp(-slack / Math.max(waitNow, settings.round()));
             return value * (waitNow + run) + fine + crossing + (risk + late) * value * h.row.quotedFor(h.work);
         }
     }
