--- a/src/main/java/wheelroute/adapter/ReplyWriter.java
+++ b/src/main/java/wheelroute/adapter/ReplyWriter.java
@@ -42,7 +42,8 @@
 
             @Override
             public void bounce(Ids.Submission submission, double retryAfter) {
-                from(instance).word("OVERLOAD_REPLY").number(submission.value()).number(micros(retryAfter)).end();
+                from(instance).word("OVERLOAD_REPLY").number(submission.value());
+                number(micros(retryAfter)).end();
             }
 
             @Override
--- a/src/main/java/wheelroute/adapter/SettingsReader.java
+++ b/src/main/java/wheelroute/adapter/SettingsReader.java
@@ -58,7 +58,8 @@
             String model = i < models.length ? models[i] : "";
             rows.add(new Settings.Offering(new Ids.Offering(text(row + "name", "")), effect(row), group(row),
                     seconds(row + "on_time_us", 0), stretch(row, stretches, i),
-                    seconds(row + "hard_limit_us", 0), number(row + "worth", 1), number(row + "late_value", 0),
+                    seconds(row + "hard_limit_us", 0), number(row + "worth", 1),
+                    number(row + "late_value", 0),
                     seconds(row + "window_us", 0), flag(row + "streamed"),
                     model.isEmpty() || model.equals("-1") ? null : new Ids.Model(modelName(model))));
         }
--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -11,22 +11,23 @@
 import java.util.zip.CRC32;
 
 /**
- * All decisions of one dispatcher: which worker each submission goes to, and what is done when that goes wrong.
+ * All decisions of one dispatcher: where each submission goes, and what is done when that goes wrong.
  *
- * <p>How it is called: {@link #at} gives the time before each event; {@link #take} accepts a submission and gives
- * a {@link Handle}, on which everything that happens to it later is a call; {@link #listed}, {@link #probed} and
- * {@link #woken} are the events of no one submission. It acts through {@link Dispatcher} only, and the words of
- * both are the records beside this file. One thread, no clock, no I/O: the same events give the same actions.
+ * <p>How it is called: {@link #at} gives the time before each event; {@link #take} accepts a submission and
+ * gives a {@link Handle}, on which all that happens to it later is a call; {@link #listed}, {@link #probed}
+ * and {@link #woken} are the events of no one submission. It acts through {@link Dispatcher} only, and the
+ * words of both are the records beside this file. One thread, no clock, no I/O: the same events give the same
+ * actions.
  *
- * <p>The mechanism is the first policy iteration rule of Hyytiä and Aalto, "To Split or not to Split", section
- * 4.1; docs/design.md tells what was kept of it, what was changed, and when each exception acts.
+ * <p>The mechanism is the first policy iteration rule of Hyytiä and Aalto, "To Split or not to Split",
+ * section 4.1; docs/design.md tells what was kept of it, what was changed, and when each exception acts.
  */
 public final class Policy {
     /** Costs this close to the cheapest are a tie: hints are too rough to tell them apart. */
     private static final double TIE_BAND = 0.10;
     /** Offered load is held below this: the cost's factor has a pole at 1. */
     private static final double MOST_LOAD = 0.95;
-    /** Speed is smoothed over this long: shorter follows the noise of single jobs, longer misses a slowdown. */
+    /** Speed is smoothed over this long: shorter follows single jobs' noise, longer misses a slowdown. */
     private static final double SPEED_MEMORY = 5;
     /** A worker's own record weighs as much as the others' after this many jobs of mean size. */
     private static final double PRIOR_JOBS = 2;
@@ -37,13 +38,13 @@
     /** A worker with this many times the mean of our launches a slot, and a few more, is overfull. */
     private static final double OVERFULL = 2;
     private static final double OVERFULL_SPARE = 1;
-    /** A job past its expected end is taken to need this part of what it has had: job sizes are heavy-tailed. */
+    /** A job past its expected end is taken to need this part of what it has had: sizes are heavy-tailed. */
     private static final double TAIL = 0.3;
     /** Waits that ours do not explain are remembered longer: a worker gets few of our launches a second. */
     private static final double WAIT_MEMORY = 5;
     /** A bounce needs evidence this fresh: queues can empty faster than old waits are forgotten. */
     private static final double FRESH = 1.5;
-    /** The fleet's mean wait weighs as much as this many of a worker's own samples, which one long job can spoil. */
+    /** The fleet's mean wait weighs as much as so many of a worker's own, which one long job can spoil. */
     private static final double WAIT_PRIOR = 4;
     /** How often overdue launches are looked for: well under the shortest allowance. */
     private static final double SWEEP = 0.1;
@@ -51,7 +52,7 @@
     private static final double SILENCE = 0.5;
     /** Expected times may be out by this factor before silence counts. */
     private static final double SILENCE_FACTOR = 2;
-    /** Copies for silence: so many a submission, saved up to a few. Guards against a jam fed by copies of itself. */
+    /** Copies for silence: so many a submission, a few saved up. Guards against a jam fed by its copies. */
     private static final double COPIES_EARNED = 0.04;
     private static final double MOST_COPIES = 6;
     /** Failures within this long count against a worker. */
@@ -83,7 +84,7 @@
     private static final double SETTLED = 0.05;
     /** A slack of this many waits is never outlasted, for all that matters. */
     private static final double CERTAIN = 8;
-    /** No worker is taken to run more jobs at once, whatever a report says: the arithmetic must stay bounded. */
+    /** No worker is taken to run more jobs at once, whatever a report says: arithmetic must stay bounded. */
     private static final int MOST_SLOTS = 64;
     /** Launches ahead that are followed one by one; what lies behind them counts in bulk. */
     private static final int FOLLOWED = 24;
@@ -164,7 +165,7 @@
         }
     }
 
-    /** The list's news: whole lists drop who is not in them. A remembered list may be stale, and answers no call. */
+    /** The list's news: whole lists drop who is not in them. A remembered one answers no call of ours. */
     public void listed(List<Listing> entries, boolean whole, boolean remembered) {
         if (!remembered) {
             askPause = FIRST_ASK;
@@ -366,10 +367,11 @@
             double wait = best.ownWait(slots) + best.unseen(FRESH, usualUnseen(FRESH));
             double run = work / best.speed();
             // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
-            return wait > Math.min(row.borne(work, run), patience() * row.value) || wait > 0 && now + wait + run > submission.outerLimit();
+            return wait > Math.min(row.borne(work, run), patience() * row.value)
+                    || wait > 0 && now + wait + run > submission.outerLimit();
         }
 
-        /** The wait, a unit of value, that the least patient offering bears; no offering may fill queues past it. */
+        /** The wait, a unit of value, that the least patient offering bears; none may fill queues past it. */
         private double patience() {
             double least = Double.POSITIVE_INFINITY;
             for (Row other : rows.values()) {
@@ -455,7 +457,7 @@
         return least == Double.POSITIVE_INFINITY ? null : drawAmong(least * (1 + TIE_BAND));
     }
 
-    /** Guards against bouncing on old waits: once nothing is launched no new wait is seen, so old ones must fade. */
+    /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
     private double usualUnseen(double memory) {
         double sum = 0;
         double weights = WAIT_PRIOR;
@@ -595,7 +597,8 @@
         void noteRunning() {
             int running = 0;
             for (Launch launch : out) {
-                running += launch.startedAt > 0 && now - launch.startedAt > SETTLED ? (int) launch.handle.slots : 0;
+                boolean settled = launch.startedAt > 0 && now - launch.startedAt > SETTLED;
+                running += settled ? (int) launch.handle.slots : 0;
             }
             model.slots = Math.max(model.slots, running);
         }
@@ -696,8 +699,8 @@
             for (double[] entry : sentCold) {
                 sent += entry[0] > now - settings.tipWindow() ? entry[1] : 0;
             }
-            double budget = settings.tipMultiple() * warmth(now - settings.tipWindow()) * model.speed() * slots()
-                    * settings.tipWindow() / Math.max(1, settings.dispatchers());
+            double capacity = warmth(now - settings.tipWindow()) * model.speed() * slots();
+            double budget = settings.tipMultiple() * capacity * settings.tipWindow() / Math.max(1, settings.dispatchers());
             return sent <= COLD_USE * budget;
         }
 
@@ -776,7 +779,7 @@
             return Math.max(sum / weights, overdue());
         }
 
-        /** Guards against sending on into a queue that has stopped: a launch still waiting tells before any start. */
+        /** Guards against sending into a queue that has stopped: a launch still waiting tells before a start. */
         private double overdue() {
             for (int i = 0; i < out.size() && settings.tellsStart(); i++) {
                 if (!(out.get(i).startedAt > 0)) {
@@ -794,13 +797,15 @@
             double value = h.row.value;
             double fine = ownKappa * (2 * backlogNow * added + added * added);
             // A price in value, put in the cost's own coin: the wait by which lateness would cost as much.
-            double crossing = listing.zone().equals(settings.zone()) ? 0 : settings.crossZonePrice() * meanValue
-                    * h.row.quotedFor(h.work) / Math.max(LEAST_LOSS, 1 - h.row.of.lateValue());
+            double quoted = h.row.quotedFor(h.work);
+            double crossing = listing.zone().equals(settings.zone()) ? 0
+                    : settings.crossZonePrice() * meanValue * quoted / Math.max(LEAST_LOSS, 1 - h.row.of.lateValue());
             double risk = failures.countSince(now - FAILURE_MEMORY) / (double) KEPT;
-            double slack = Math.max(0, h.row.quotedFor(h.work) - run);
-            // What the linear cost does not see: a wait near the slack loses the value, a longer run within it nothing.
-            double late = waitNow * CERTAIN < slack ? 0 : Math.exp(-slack / Math.max(waitNow, settings.round()));
-            return value * (waitNow + run) + fine + crossing + (risk + late) * value * h.row.quotedFor(h.work);
+            double slack = Math.max(0, quoted - run);
+            // What the linear cost does not see: a wait near the slack loses the value, a longer run nothing.
+            double late = waitNow * CERTAIN < slack ? 0
+                    : Math.exp(-slack / Math.max(waitNow, settings.round()));
+            return value * (waitNow + run) + fine + crossing + (risk + late) * value * quoted;
         }
     }
 
@@ -860,7 +865,7 @@
             value = of.value() > 0 ? of.value() : 1;
         }
 
-        /** The hint, drawn towards its offering's middle as far as hints lately misled; their mean if none. */
+        /** The hint, drawn to its offering's middle as far as hints lately misled; their mean if none. */
         double workOf(double hint) {
             if (Double.isNaN(hint)) {
                 return hints.meanOfFirst(NO_HINT_YET);
@@ -869,7 +874,7 @@
             return hint > 0 && slope < 1 ? scale * Math.exp(slope * (Math.log(hint) - middle)) : hint;
         }
 
-        /** Guards against rough hints taken at their word: the slope of work on hint says how far to trust them. */
+        /** Guards against rough hints taken at their word: work's slope on hint says how far to trust them. */
         void learn(double hint, double work) {
             if (!(hint > 0)) {
                 return;
@@ -898,7 +903,7 @@
             return of.quoted() + of.stretch() * work;
         }
 
-        /** Guards against patient offerings filling the queues of an overload, where the others then starve. */
+        /** Guards against patient offerings filling an overload's queues, where the others then starve. */
         double patience() {
             double work = hints.meanOfFirst(NO_HINT_YET);
             return borne(work, work) / value;
--- a/src/test/java/wheelroute/RulesTest.java
+++ b/src/test/java/wheelroute/RulesTest.java
@@ -60,7 +60,8 @@
 
     /** Every launch may have run: repeats stay in the group, and within its window less the way there. */
     @Test(dataProvider = "repeats")
-    public void repeatsStayInTheirGroupAndWindow(Group group, double after, Outcome outcome, String end, int most) {
+    public void repeatsStayInTheirGroupAndWindow(Group group, double after, Outcome outcome, String end,
+            int most) {
         World.Given given = new World.Given();
         given.effect = Effect.DEDUPLICATED;
         given.group = group;
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -35,8 +35,8 @@
         Settings settings() {
             return new Settings(7, new Ids.Zone("here"), dispatchers, 0.005, List.of(new Settings.Offering(
                     new Ids.Offering("job"), effect, group, 1, 2, LIMIT, 3, 0.3, window, streamed, null)),
-                    Map.of(), 1, mustAsk, tellsStart, 0, false, false, true, mayCopy, retryAfter > 0, retryAfter,
-                    mostLaunches, 1, 0.25, 20, 4, 3, 0, 0, 0);
+                    Map.of(), 1, mustAsk, tellsStart, 0, false, false, true, mayCopy, retryAfter > 0,
+                    retryAfter, mostLaunches, 1, 0.25, 20, 4, 3, 0, 0, 0);
         }
     }
 
@@ -62,7 +62,7 @@
                 new Ids.Cell(cell), readiness);
     }
 
-    /** Workers 1 and 2 share a cell; 3 shares their zone; 4 is elsewhere. Only the first so many are listed. */
+    /** Workers 1 and 2 share a cell; 3 shares their zone; 4 is elsewhere. The first so many are listed. */
     World list(int count) {
         List<Listing> all = List.of(active(1, 1, "here"), active(2, 1, "here"), active(3, 2, "here"),
                 active(4, 3, "there"));
@@ -75,8 +75,8 @@
     }
 
     World change(long id, double startedAt, Listing.Readiness readiness) {
-        policy.listed(List.of(worker(id, id < 3 ? 1 : id - 1, id == 4 ? "there" : "here", startedAt, readiness)),
-                false, false);
+        String zone = id == 4 ? "there" : "here";
+        policy.listed(List.of(worker(id, id < 3 ? 1 : id - 1, zone, startedAt, readiness)), false, false);
         return this;
     }
 
@@ -116,7 +116,8 @@
 
     /** The worker of the last launch, or 0 if what was done last is no launch. */
     long lastWorker() {
-        return last().startsWith("launch ") ? Long.parseLong(last().substring(last().lastIndexOf(' ') + 1)) : 0;
+        String last = last();
+        return last.startsWith("launch ") ? Long.parseLong(last.substring(last.lastIndexOf(' ') + 1)) : 0;
     }
 
     long count(String what) {
