A choice without slack and without wait has a cost

Found by a test on the wire: 0/0 as the chance of lateness left no worker to choose where settings name no round.

--- a/src/main/java/wheelroute/Main.java
+++ b/src/main/java/wheelroute/Main.java
@@ -17,7 +17,7 @@
 
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: wheelroute adapter    read the wire on standard input, write actions to output");
+            System.err.println("usage: wheelroute adapter    read the wire on standard input, act on output");
             System.exit(BAD_USAGE);
         }
         // Unwrapped descriptors: System.out would add a lock and a second buffer to every reply.
--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -700,7 +700,8 @@
                 sent += entry[0] > now - settings.tipWindow() ? entry[1] : 0;
             }
             double capacity = warmth(now - settings.tipWindow()) * model.speed() * slots();
-            double budget = settings.tipMultiple() * capacity * settings.tipWindow() / Math.max(1, settings.dispatchers());
+            double budget = settings.tipMultiple() * capacity * settings.tipWindow()
+                    / Math.max(1, settings.dispatchers());
             return sent <= COLD_USE * budget;
         }
 
@@ -779,7 +780,7 @@
             return Math.max(sum / weights, overdue());
         }
 
-        /** Guards against sending into a queue that has stopped: a launch still waiting tells before a start. */
+        /** Guards against sending into a stopped queue: a launch still waiting tells before a start. */
         private double overdue() {
             for (int i = 0; i < out.size() && settings.tellsStart(); i++) {
                 if (!(out.get(i).startedAt > 0)) {
@@ -799,12 +800,12 @@
             // A price in value, put in the cost's own coin: the wait by which lateness would cost as much.
             double quoted = h.row.quotedFor(h.work);
             double crossing = listing.zone().equals(settings.zone()) ? 0
-                    : settings.crossZonePrice() * meanValue * quoted / Math.max(LEAST_LOSS, 1 - h.row.of.lateValue());
+                    : settings.crossZonePrice() * meanValue * quoted
+                    / Math.max(LEAST_LOSS, 1 - h.row.of.lateValue());
             double risk = failures.countSince(now - FAILURE_MEMORY) / (double) KEPT;
             double slack = Math.max(0, quoted - run);
             // What the linear cost does not see: a wait near the slack loses the value, a longer run nothing.
-            double late = waitNow * CERTAIN < slack ? 0
-                    : Math.exp(-slack / Math.max(waitNow, settings.round()));
+            double late = waitNow * CERTAIN < slack ? 0 : waitNow > 0 ? Math.exp(-slack / waitNow) : 1;
             return value * (waitNow + run) + fine + crossing + (risk + late) * value * quoted;
         }
     }
@@ -874,7 +875,7 @@
             return hint > 0 && slope < 1 ? scale * Math.exp(slope * (Math.log(hint) - middle)) : hint;
         }
 
-        /** Guards against rough hints taken at their word: work's slope on hint says how far to trust them. */
+        /** Guards against rough hints taken at their word: work's slope on hint tells how far to trust. */
         void learn(double hint, double work) {
             if (!(hint > 0)) {
                 return;
