--- a/src/test/java/wheelroute/ChoiceTest.java
+++ b/src/test/java/wheelroute/ChoiceTest.java
@@ -159,4 +159,97 @@
         assertTrue(w.count("bounce") > 30, w.did.toString());
         assertTrue(w.count("launch") >= 2);
     }
+
+    @DataProvider
+    public Object[][] overlaps() {
+        return new Object[][] {
+            // how long a second start was known before the end of the first, launches until the first bounce
+            {0.02, 2},
+            {0.2, 4},
+        };
+    }
+
+    /** Guards against a start that overtakes an end: slots counted then only ever grow. */
+    @Test(dataProvider = "overlaps")
+    public void onlySettledStartsCountAsSlots(double overlap, int launches) {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(1);
+        Policy.Handle first = w.take(1);
+        Policy.Handle second = w.take(1);
+        first.started(0);
+        w.pass(1);
+        second.started(0);
+        w.pass(overlap).policy.woken();
+        w.end(first, 0, Outcome.ANSWERED);
+        w.pass(1 - overlap);
+        w.end(second, 0, Outcome.ANSWERED);
+        w.pass(60).did.clear();
+        while (w.count("bounce") == 0 && w.count("launch") < 20) {
+            w.take(1);
+        }
+        assertEquals(w.count("launch"), launches, w.did.toString());
+    }
+
+    @DataProvider
+    public Object[][] hintsAndRuns() {
+        return new Object[][] {
+            // whether runs follow their hints, what comes after a hint of 9 s
+            {true, "bounce"},
+            {false, "launch"},
+        };
+    }
+
+    /** Guards against rough hints taken at their word. */
+    @Test(dataProvider = "hintsAndRuns")
+    public void hintsCountAsFarAsRunsFollowThem(boolean follow, String next) {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(1);
+        for (int i = 0; i < 60; i++) {
+            double hint = i % 2 == 0 ? 0.05 : 1.0;
+            w.serve(hint, follow ? hint : 0.5);
+        }
+        w.take(9).started(0);
+        w.take(0.05);
+        assertTrue(w.last().startsWith(next), w.did.toString());
+    }
+
+    /** Guards against bouncing for good on waits seen long ago. */
+    @Test
+    public void oldWaitsFade() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(1);
+        Policy.Handle handle = w.take(0.1, w.now + 100);
+        w.pass(20);
+        handle.started(0);
+        w.end(handle, 0, Outcome.ANSWERED);
+        w.take(0.1);
+        assertTrue(w.last().startsWith("bounce"), w.did.toString());
+        w.pass(6).take(0.1);
+        assertTrue(w.last().startsWith("launch"), w.did.toString());
+    }
+
+    /** Guards against unreachable workers that come back into the choice because most are unreachable. */
+    @Test
+    public void failuresLockOutMoreThanHalf() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(4);
+        int dead = 0;
+        for (int i = 0; i < 100; i++) {
+            Policy.Handle handle = w.take(0.01);
+            for (int launch = 0; !handle.isOver(); launch++) {
+                boolean isDead = w.lastWorker() > 1;
+                dead += isDead ? 1 : 0;
+                w.pass(0.02).end(handle, launch, isDead ? Outcome.UNCONNECTED : Outcome.ANSWERED);
+            }
+        }
+        assertTrue(dead < 20, "launches to unreachable workers: " + dead);
+    }
+
+    /** Guards against a patient offering that fills the queues in which another starves. */
+    @Test
+    public void patientOfferingsStopAtTheImpatientOnesBound() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(1);
+        w.serve(0.5, 0.5);
+        w.did.clear();
+        for (int i = 0; i < 30; i++) {
+            w.take("patient", 0.5, w.now + 100);
+        }
+        assertTrue(w.count("launch") <= 5, w.did.toString());
+    }
 }
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -34,7 +34,9 @@
 
         Settings settings() {
             return new Settings(7, new Ids.Zone("here"), dispatchers, 0.005, List.of(new Settings.Offering(
-                    new Ids.Offering("job"), effect, group, 1, 2, LIMIT, 3, 0.3, window, streamed, null)),
+                    new Ids.Offering("job"), effect, group, 1, 2, LIMIT, 3, 0.3, window, streamed, null),
+                    new Settings.Offering(new Ids.Offering("patient"), effect, group, 8, 2, LIMIT, 3, 0.3, window,
+                    false, null)),
                     Map.of(), 1, mustAsk, tellsStart, 0, false, false, true, mayCopy, retryAfter > 0,
                     retryAfter, mostLaunches, 1, 0.25, 20, 4, 3, 0, 0, 0);
         }
@@ -91,7 +93,11 @@
     }
 
     Policy.Handle take(double hint, double outerLimit) {
-        return policy.take(new Submission(new Ids.Submission(++lastId), new Ids.Offering("job"),
+        return take("job", hint, outerLimit);
+    }
+
+    Policy.Handle take(String offering, double hint, double outerLimit) {
+        return policy.take(new Submission(new Ids.Submission(++lastId), new Ids.Offering(offering),
                 new Ids.Tenant("t"), outerLimit, hint, 1, 0, false));
     }
 
