--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -257,17 +257,27 @@
         public void started(int number) {
             Launch launch = launch(number);
             if (launch != null && launch.isOut()) {
-                launch.startedAt = now;
-                launch.worker.heard();
-                launch.worker.waits.add(now, Math.max(0, now - launch.sentAt - launch.ownWait), 1);
-                startWaits.add(now, now - launch.sentAt, Math.max(0, now - launch.sentAt - launch.ownWait));
+                began(launch, now);
             }
         }
 
+        private void began(Launch launch, double at) {
+            launch.startedAt = at;
+            launch.worker.heard();
+            double unexplained = Math.max(0, at - launch.sentAt - launch.ownWait);
+            launch.worker.waits.add(now, unexplained, 1);
+            startWaits.add(now, at - launch.sentAt, unexplained);
+        }
+
+        /** Where starts are not told the first note tells one; each note tells how long the job will run. */
         public void progressed(int number, double share) {
             Launch launch = launch(number);
-            if (launch != null && launch.isOut()) {
+            if (launch != null && launch.isOut() && share > 0) {
                 launch.worker.heard();
+                if (launch.startedAt <= 0) {
+                    began(launch, Math.max(launch.sentAt, now - settings.progressEvery()));
+                }
+                launch.runFor = (now - launch.startedAt) / Math.min(1, share);
             }
         }
 
@@ -609,6 +619,11 @@
                 case ANSWERED -> {
                     heard();
                     double from = launch.startedAt > 0 ? launch.startedAt : launch.sentAt;
+                    if (launch.startedAt <= 0) {
+                        double unexplained = now - launch.sentAt - launch.ownWait - launch.handle.work / speed();
+                        waits.add(now, unexplained, 1);
+                        startWaits.add(now, now - launch.sentAt, unexplained);
+                    }
                     if (launch.startedAt > 0 || launch.ownWait == 0) {
                         runs.add(now, launch.handle.work, Math.max(now - from, settings.round()));
                         speedAt = Double.NEGATIVE_INFINITY;
@@ -777,7 +792,7 @@
                 sum += weight * waits.first(i);
                 weights += weight;
             }
-            return Math.max(sum / weights, overdue());
+            return Math.max(0, Math.max(sum / weights, overdue()));
         }
 
         /** Guards against sending into a stopped queue: a launch still waiting tells before a start. */
@@ -821,6 +836,8 @@
         final Listing place;
         final double sentAt;
         double startedAt = -1;
+        /** How long it will run in all, by its progress; 0 until that is told. */
+        double runFor;
         double ownWait;
         double expectedWait;
         Outcome outcome;
@@ -844,9 +861,9 @@
         }
 
         double remaining(double now, double speed) {
-            double run = handle.work / speed;
+            double run = runFor > 0 ? runFor : handle.work / speed;
             double had = startedAt > 0 ? now - startedAt : Math.max(0, now - sentAt - expectedWait);
-            return Math.max(run - had, TAIL * had);
+            return Math.max(run - had, runFor > 0 ? 0 : TAIL * had);
         }
     }
 
