--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -104,6 +104,7 @@
     private final List<Worker> fleet = new ArrayList<>();
     /** Every worker still named or holding a launch of ours, in the same order. */
     private final List<Worker> known = new ArrayList<>();
+    private final Map<Ids.Tenant, Samples> uses = new HashMap<>();
     private final Samples arrivals = new Samples(KEPT_ARRIVALS);
     private final CRC32 crc = new CRC32();
     private long draws;
@@ -220,6 +221,9 @@
         }
         Handle handle = new Handle(submission, row);
         arrivals.add(now, handle.work, row.value);
+        if (settings.quotas().getOrDefault(submission.tenant(), 0.0) > 0) {
+            uses.computeIfAbsent(submission.tenant(), t -> new Samples(KEPT_ARRIVALS)).add(now, handle.work, 0);
+        }
         copiesLeft = Math.min(MOST_COPIES, copiesLeft + COPIES_EARNED);
         handle.place();
         return handle;
@@ -377,10 +381,20 @@
             double wait = best.ownWait(slots) + best.unseen(FRESH, usualUnseen(FRESH));
             double run = work / best.speed();
             // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
-            return wait > Math.min(row.borne(work, run), patience() * row.value)
+            return wait > Math.min(row.borne(work, run), patience() * row.value) * fairness()
                     || wait > 0 && now + wait + run > submission.outerLimit();
         }
 
+        /** Guards against a tenant far past its share crowding out the others: it bears less, they bear all. */
+        private double fairness() {
+            double use = uses.containsKey(submission.tenant()) ? use(submission.tenant()) : 0;
+            double least = use;
+            for (Ids.Tenant other : uses.keySet()) {
+                least = Math.min(least, use(other));
+            }
+            return use > 0 ? Math.max(settings.overShareValue(), least / use) : 1;
+        }
+
         /** The wait, a unit of value, that the least patient offering bears; none may fill queues past it. */
         private double patience() {
             double least = Double.POSITIVE_INFINITY;
@@ -499,6 +513,11 @@
         return 1 / (1 + x + x * x / 2);
     }
 
+    /** A tenant's work a second over its quota, in no unit: only tenants beside each other tell anything. */
+    private double use(Ids.Tenant tenant) {
+        return uses.get(tenant).rateOfFirst(now) / settings.quotas().get(tenant);
+    }
+
     private double chance() {
         crc.reset();
         crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(settings.seed()).putLong(++draws).flip());
--- a/src/test/java/wheelroute/ChoiceTest.java
+++ b/src/test/java/wheelroute/ChoiceTest.java
@@ -252,4 +252,18 @@
         }
         assertTrue(w.count("launch") <= 5, w.did.toString());
     }
+
+    /** Guards against a tenant far past its share that crowds out the others under overload. */
+    @Test
+    public void aTenantFarPastItsShareBearsShorterWaits() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(2);
+        int[] launched = new int[2];
+        for (int i = 0; i < 200; i++) {
+            int tenant = i % 5 == 0 ? 0 : 1;
+            w.take("job", tenant == 0 ? "t" : "greedy", 0.5, w.now + World.LIMIT);
+            launched[tenant] += w.lastWorker() > 0 ? 1 : 0;
+            w.pass(0.05);
+        }
+        assertTrue(launched[0] > 2 * launched[1] / 4, launched[0] + " of 40 beside " + launched[1] + " of 160");
+    }
 }
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -37,7 +37,7 @@
                     new Ids.Offering("job"), effect, group, 1, 2, LIMIT, 3, 0.3, window, streamed, null),
                     new Settings.Offering(new Ids.Offering("patient"), effect, group, 8, 2, LIMIT, 3, 0.3, window,
                     false, null)),
-                    Map.of(), 1, mustAsk, tellsStart, 0, false, false, true, mayCopy, retryAfter > 0,
+                    Map.of(new Ids.Tenant("t"), 10.0, new Ids.Tenant("greedy"), 10.0), 0.1, mustAsk, tellsStart, 0, false, false, true, mayCopy, retryAfter > 0,
                     retryAfter, mostLaunches, 1, 0.25, 20, 4, 3, 0, 0, 0);
         }
     }
@@ -97,8 +97,12 @@
     }
 
     Policy.Handle take(String offering, double hint, double outerLimit) {
+        return take(offering, "t", hint, outerLimit);
+    }
+
+    Policy.Handle take(String offering, String tenant, double hint, double outerLimit) {
         return policy.take(new Submission(new Ids.Submission(++lastId), new Ids.Offering(offering),
-                new Ids.Tenant("t"), outerLimit, hint, 1, 0, false));
+                new Ids.Tenant(tenant), outerLimit, hint, 1, 0, false));
     }
 
     void end(Policy.Handle handle, int launch, Outcome outcome) {
