--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -120,7 +120,6 @@
     private int lockedOut;
     private double watchAgainAt = Double.NaN;
     private double askPause = FIRST_ASK;
-    private boolean begun;
 
     public Policy(Settings settings, Dispatcher dispatcher) {
         this.settings = settings;
@@ -128,6 +127,10 @@
         for (Settings.Offering offering : settings.offerings()) {
             rows.put(offering.id(), new Row(offering));
         }
+        dispatcher.wake(SWEEP);
+        if (settings.listMustBeAsked()) {
+            dispatcher.watchList();
+        }
     }
 
     // ---- events of no one submission
@@ -135,13 +138,6 @@
     /** The time, in seconds, of the events that follow. */
     public void at(double time) {
         now = time;
-        if (!begun) {
-            begun = true;
-            dispatcher.wake(SWEEP);
-            if (settings.listMustBeAsked()) {
-                dispatcher.watchList();
-            }
-        }
     }
 
     public void woken() {
@@ -381,7 +377,7 @@
             double wait = best.ownWait(slots) + best.unseen(FRESH, usualUnseen(FRESH));
             double run = work / best.speed();
             // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
-            return wait > Math.min(row.borne(work, run), patience() * row.value) * fairness()
+            return wait > Math.min(row.borne(work, run), patience() * Math.sqrt(row.value)) * fairness()
                     || wait > 0 && now + wait + run > submission.outerLimit();
         }
 
@@ -943,7 +939,7 @@
         /** Guards against patient offerings filling an overload's queues, where the others then starve. */
         double patience() {
             double work = hints.meanOfFirst(NO_HINT_YET);
-            return borne(work, work) / value;
+            return borne(work, work) / Math.sqrt(value);
         }
 
         double borne(double work, double run) {
