--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -44,7 +44,7 @@
     private static final double WAIT_MEMORY = 5;
     /** A bounce needs evidence this fresh: queues can empty faster than old waits are forgotten. */
     private static final double FRESH = 1.5;
-    /** The fleet's mean wait weighs as much as so many of a worker's own, which one long job can spoil. */
+    /** Its model's mean wait weighs as much as so many of a worker's own, which one long job can spoil. */
     private static final double WAIT_PRIOR = 4;
     /** How often overdue launches are looked for: well under the shortest allowance. */
     private static final double SWEEP = 0.1;
@@ -109,13 +109,12 @@
     private final CRC32 crc = new CRC32();
     private long draws;
     private double now;
-    /** How long launches lately waited to start, anywhere. */
-    private final Samples startWaits = new Samples(KEPT_ARRIVALS);
+    /** One for all models where starts are not told: waits guessed from answers would show their speeds. */
+    private final Samples roughWaits = new Samples(KEPT_ARRIVALS);
     private double copiesLeft = MOST_COPIES;
     /** Worked out once for each choice: the means are asked for at every worker. */
     private double meanWork = NO_HINT_YET;
     private double meanValue = 1;
-    private double meanUnseen;
     private int launchesOut;
     private int lockedOut;
     private double watchAgainAt = Double.NaN;
@@ -266,7 +265,7 @@
             launch.worker.heard();
             double unexplained = Math.max(0, at - launch.sentAt - launch.ownWait);
             launch.worker.waits.add(now, unexplained, 1);
-            startWaits.add(now, at - launch.sentAt, unexplained);
+            launch.worker.model.waits.add(now, at - launch.sentAt, unexplained);
         }
 
         /** Where starts are not told the first note tells one; each note tells how long the job will run. */
@@ -374,7 +373,7 @@
         }
 
         private boolean isHopeless(Worker best) {
-            double wait = best.ownWait(slots) + best.unseen(FRESH, usualUnseen(FRESH));
+            double wait = best.ownWait(slots) + best.unseen(FRESH, best.model.usualUnseen(now, FRESH));
             double run = work / best.speed();
             // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
             return wait > Math.min(row.borne(work, run), patience() * Math.sqrt(row.value)) * fairness()
@@ -448,7 +447,9 @@
     private Worker cheapest(Handle h) {
         meanWork = arrivals.meanOfFirst(NO_HINT_YET);
         meanValue = arrivals.meanOfSecond();
-        meanUnseen = usualUnseen(WAIT_MEMORY);
+        for (ModelState model : models.values()) {
+            model.unseenNow = model.usualUnseen(now, WAIT_MEMORY);
+        }
         double capacity = 0;
         double slotsInAll = 0;
         lockedOut = 0;
@@ -477,18 +478,6 @@
         return least == Double.POSITIVE_INFINITY ? null : drawAmong(least * (1 + TIE_BAND));
     }
 
-    /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
-    private double usualUnseen(double memory) {
-        double sum = 0;
-        double weights = WAIT_PRIOR;
-        for (int i = 0; i < startWaits.size(); i++) {
-            double weight = Math.max(0, 1 - (now - startWaits.time(i)) / memory);
-            sum += weight * startWaits.second(i);
-            weights += weight;
-        }
-        return sum / weights;
-    }
-
     private Worker drawAmong(double most) {
         int tied = 0;
         for (Worker w : fleet) {
@@ -526,7 +515,7 @@
     private void lookForSilence(Worker w) {
         Launch oldest = w.out.get(0);
         // What others wait is the measure: in a jam every start is late and no worker silent.
-        double expected = Math.max(oldest.expectedWait, startWaits.mostOfFirst());
+        double expected = Math.max(oldest.expectedWait, w.model.waits.mostOfFirst());
         if (oldest.startedAt > 0 || !settings.tellsStart()) {
             double run = oldest.handle.work / w.speed();
             expected += settings.progressEvery() > 0 ? settings.progressEvery() : SILENCE_FACTOR * run;
@@ -590,7 +579,8 @@
             boolean again = listing != null && entry.startedAt() > 0
                     && !(entry.startedAt() <= listing.startedAt());
             listing = entry;
-            model = models.computeIfAbsent(entry.model(), m -> new ModelState());
+            model = models.computeIfAbsent(entry.model(), m -> new ModelState(
+                    settings.tellsStart() ? new Samples(KEPT_ARRIVALS) : roughWaits));
             named = true;
             ready = entry.readiness() == Listing.Readiness.ACTIVE;
             if (again) {
@@ -637,7 +627,7 @@
                     if (launch.startedAt <= 0) {
                         double unexplained = now - launch.sentAt - launch.ownWait - launch.handle.work / speed();
                         waits.add(now, unexplained, 1);
-                        startWaits.add(now, now - launch.sentAt, unexplained);
+                        model.waits.add(now, now - launch.sentAt, unexplained);
                     }
                     if (launch.startedAt > 0 || launch.ownWait == 0) {
                         runs.add(now, launch.handle.work, Math.max(now - from, settings.round()));
@@ -746,7 +736,7 @@
 
         /** Works out the wait and the backlog once for the costs that follow. */
         void figure(double need) {
-            double unseen = unseen(WAIT_MEMORY, meanUnseen);
+            double unseen = unseen(WAIT_MEMORY, model.unseenNow);
             waitNow = ownWait(need) + unseen;
             double sum = 0;
             for (int i = 0; i < slots(); i++) {
@@ -756,7 +746,7 @@
         }
 
         double wait(double need) {
-            return ownWait(need) + unseen(WAIT_MEMORY, meanUnseen);
+            return ownWait(need) + unseen(WAIT_MEMORY, model.unseenNow);
         }
 
         /** How long until a job starts that comes after ours. */
@@ -962,6 +952,26 @@
 
         private double speedNow = STANDARD_SPEED;
 
+        /** How long launches lately waited to start, and how much of it ours do not explain. */
+        final Samples waits;
+        double unseenNow;
+
+        ModelState(Samples waits) {
+            this.waits = waits;
+        }
+
+        /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
+        double usualUnseen(double now, double memory) {
+            double sum = 0;
+            double weights = WAIT_PRIOR;
+            for (int i = 0; i < waits.size(); i++) {
+                double weight = Math.max(0, 1 - (now - waits.time(i)) / memory);
+                sum += weight * waits.second(i);
+                weights += weight;
+            }
+            return sum / weights;
+        }
+
         void ran(double now, double work, double run) {
             runs.add(now, work, run);
             speedNow = runs.sumOfFirst() / runs.sumOfSecond();
