--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -68,7 +68,7 @@
     /** A worker that turned a launch away is left alone this long: about a job's time. */
     private static final double FULL_PAUSE = 0.3;
     /** Of our share of a cold worker's budget this much is used: hints are rough and its size is a guess. */
-    private static final double COLD_USE = 0.5;
+    private static final double COLD_USE = 0.65;
     /** Taken off the window in which repeats are known, for the way to the worker. */
     private static final double TRANSIT = 0.5;
     /** Nothing is launched that has less than this left: it could not even reach a worker and return. */
@@ -630,11 +630,14 @@
                         model.waits.add(now, now - launch.sentAt, unexplained);
                     }
                     if (launch.startedAt > 0 || launch.ownWait == 0) {
-                        runs.add(now, launch.handle.work, Math.max(now - from, settings.round()));
+                        double run = Math.max(now - from, settings.round());
+                        runs.add(now, launch.handle.work, run);
                         speedAt = Double.NEGATIVE_INFINITY;
-                        model.ran(now, launch.handle.work, Math.max(now - from, settings.round()));
-                        launch.handle.row.learn(launch.handle.submission.hint(),
-                                Math.max(now - from, settings.round()) * speed());
+                        if (warmth(from) >= 1) {
+                            // Guards against a release that makes its whole model look slow.
+                            model.ran(now, launch.handle.work, run);
+                            launch.handle.row.learn(launch.handle.submission.hint(), run * speed());
+                        }
                     }
                     goodTrials++;
                     if (goodTrials >= GOOD_TRIALS) {
--- a/src/test/java/wheelroute/ChoiceTest.java
+++ b/src/test/java/wheelroute/ChoiceTest.java
@@ -266,4 +266,19 @@
         }
         assertTrue(launched[0] > 2 * launched[1] / 4, launched[0] + " of 40 beside " + launched[1] + " of 160");
     }
+
+    /** Guards against a release that makes its whole model look slow: cold runs tell of the worker alone. */
+    @Test
+    public void aModelLearnsFromWarmRunsOnly() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(1);
+        for (int i = 0; i < 5; i++) {
+            w.serve(0.2, 0.2);
+        }
+        w.change(1, Double.NaN, Readiness.LEAVING).change(2, w.now, Readiness.ACTIVE);
+        for (int i = 0; i < 9; i++) {
+            w.serve(0.2, 0.8);
+        }
+        w.pass(60).change(3, Double.NaN, Readiness.ACTIVE);
+        assertEquals(w.serve(0.2, 0.2), 3, "the slow one is passed over for one unknown");
+    }
 }
