--- a/src/test/java/wheelroute/ChoiceTest.java
+++ b/src/test/java/wheelroute/ChoiceTest.java
@@ -278,7 +278,11 @@
         for (int i = 0; i < 9; i++) {
             w.serve(0.2, 0.8);
         }
-        w.pass(60).change(3, Double.NaN, Readiness.ACTIVE);
-        assertEquals(w.serve(0.2, 0.2), 3, "the slow one is passed over for one unknown");
+        w.pass(60).change(2, Double.NaN, Readiness.GONE).change(3, Double.NaN, Readiness.ACTIVE);
+        w.did.clear();
+        while (w.count("bounce") == 0) {
+            w.take(0.5);
+        }
+        assertTrue(w.count("launch") >= 3, "a new worker starts at the speed of warm ones: " + w.did);
     }
 }
