--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -965,14 +965,7 @@
 
         /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
         double usualUnseen(double now, double memory) {
-            double sum = 0;
-            double weights = WAIT_PRIOR;
-            for (int i = 0; i < waits.size(); i++) {
-                double weight = Math.max(0, 1 - (now - waits.time(i)) / memory);
-                sum += weight * waits.second(i);
-                weights += weight;
-            }
-            return sum / weights;
+            return waits.faded(2, now, memory, WAIT_PRIOR);
         }
 
         void ran(double now, double work, double run) {
--- a/src/main/java/wheelroute/decision/Samples.java
+++ b/src/main/java/wheelroute/decision/Samples.java
@@ -55,6 +55,18 @@
         return sum(2);
     }
 
+    /** The mean of a figure, samples weighing less with age down to nothing, and a mean of 0 weighing so many. */
+    double faded(int figure, double now, double memory, double prior) {
+        double sum = 0;
+        double weights = prior;
+        for (int i = 0; i < size; i++) {
+            double weight = Math.max(0, 1 - (now - time(i)) / memory);
+            sum += weight * kept[3 * i + figure];
+            weights += weight;
+        }
+        return sum / weights;
+    }
+
     double mostOfFirst() {
         double most = 0;
         for (int i = 0; i < size; i++) {
