--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -216,7 +216,8 @@
         }
         Handle handle = new Handle(submission, row);
         arrivals.add(now, handle.work, row.value);
-        if (settings.quotas().getOrDefault(submission.tenant(), 0.0) > 0) {
+        // Guards against a tenant that seems past its share by the retries that its own bounces cause.
+        if (!submission.repeated() && settings.quotas().getOrDefault(submission.tenant(), 0.0) > 0) {
             uses.computeIfAbsent(submission.tenant(), t -> new Samples(KEPT_ARRIVALS)).add(now, handle.work, 0);
         }
         copiesLeft = Math.min(MOST_COPIES, copiesLeft + COPIES_EARNED);
@@ -387,7 +388,7 @@
             for (Ids.Tenant other : uses.keySet()) {
                 least = Math.min(least, use(other));
             }
-            return use > 0 ? Math.max(settings.overShareValue(), least / use) : 1;
+            return use > 1 ? Math.max(Math.sqrt(settings.overShareValue()), least / use) : 1;
         }
 
         /** The wait, a unit of value, that the least patient offering bears; none may fill queues past it. */
@@ -498,9 +499,9 @@
         return 1 / (1 + x + x * x / 2);
     }
 
-    /** A tenant's work a second over its quota, in no unit: only tenants beside each other tell anything. */
+    /** How far a tenant is past its quota, if all dispatchers have its traffic as we do. */
     private double use(Ids.Tenant tenant) {
-        return uses.get(tenant).rateOfFirst(now) / settings.quotas().get(tenant);
+        return settings.dispatchers() * uses.get(tenant).rate(now) / settings.quotas().get(tenant);
     }
 
     private double chance() {
