--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -215,7 +215,10 @@
             return null;
         }
         Handle handle = new Handle(submission, row);
-        arrivals.add(now, handle.work, row.value);
+        if (!submission.repeated()) {
+            // Guards against a retry storm taken for load: what was bounced asks again at once.
+            arrivals.add(now, handle.work, row.value);
+        }
         // Guards against a tenant that seems past its share by the retries that its own bounces cause.
         if (!submission.repeated() && settings.quotas().getOrDefault(submission.tenant(), 0.0) > 0) {
             uses.computeIfAbsent(submission.tenant(), t -> new Samples(KEPT_ARRIVALS)).add(now, handle.work, 0);
