--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -78,6 +78,8 @@
     private static final double LONGEST_ASK = 4;
     /** Bounced when the wait at the best worker would take the answer past this many quoted times. */
     private static final double HOPELESS = 1;
+    /** A second choice must wait at most this part of what is borne: overload must not fill every queue. */
+    private static final double SECOND_BEST = 0.4;
     /** But a wait of this part of the quoted time is borne in any case. */
     private static final double WORTH_WAITING = 0.5;
     /** A start this old has seen every earlier end arrive: well over the jitter of a notice. */
@@ -167,9 +169,7 @@
             askPause = FIRST_ASK;
         }
         if (whole) {
-            for (Worker w : workers.values()) {
-                w.named = false;
-            }
+            workers.values().forEach(w -> w.named = false);
         }
         List<Worker> lost = new ArrayList<>();
         for (Listing entry : entries) {
@@ -221,7 +221,7 @@
         }
         // Guards against a tenant that seems past its share by the retries that its own bounces cause.
         if (!submission.repeated() && settings.quotas().getOrDefault(submission.tenant(), 0.0) > 0) {
-            uses.computeIfAbsent(submission.tenant(), t -> new Samples(KEPT_ARRIVALS)).add(now, handle.work, 0);
+            uses.computeIfAbsent(submission.tenant(), t -> new Samples(KEPT_ARRIVALS)).add(now, 1, 0);
         }
         copiesLeft = Math.min(MOST_COPIES, copiesLeft + COPIES_EARNED);
         handle.place();
@@ -368,23 +368,28 @@
 
         /** Sends it to the cheapest worker, or gives it up at once if nothing is left to wait for. */
         private void place() {
-            Worker best = mayLaunch() ? cheapest(this) : null;
-            if (best != null && !(out == 0 && mayBounce() && isHopeless(best))) {
-                launchAt(best);
+            Worker best = mayLaunch() ? cheapest(this, false) : null;
+            Worker choice = best;
+            if (best != null && out == 0 && mayBounce() && isHopeless(best, 1)) {
+                // Guards against a bounce beside idle workers, because the fastest one has a queue.
+                choice = cheapest(this, true);
+            }
+            if (choice != null) {
+                launchAt(choice);
             } else if (out == 0) {
                 giveUp(best);
             }
         }
 
-        private boolean isHopeless(Worker best) {
+        private boolean isHopeless(Worker best, double part) {
             double wait = best.ownWait(slots) + best.unseen(FRESH, best.model.usualUnseen(now, FRESH));
             double run = work / best.speed();
-            // Waiting is what a bounce spares; a job that is late by its own length is no reason for one.
-            return wait > Math.min(row.borne(work, run), patience() * Math.sqrt(row.value)) * fairness()
-                    || wait > 0 && now + wait + run > submission.outerLimit();
+            // Waiting is what a bounce spares: that a job looks too long is only a rough hint's word.
+            double shared = patience() * Math.sqrt(row.value);
+            return wait > part * Math.min(row.borne(work, run), shared) * fairness();
         }
 
-        /** Guards against a tenant far past its share crowding out the others: it bears less, they bear all. */
+        /** Guards against a tenant far past its share crowding out others: it bears less, they bear all. */
         private double fairness() {
             double use = uses.containsKey(submission.tenant()) ? use(submission.tenant()) : 0;
             double least = use;
@@ -447,13 +452,11 @@
 
     // ---- the ordinary path
 
-    /** The worker of least admittance cost; among near ties, one by chance; null when none may be used. */
-    private Worker cheapest(Handle h) {
+    /** The worker of least admittance cost; of near ties one by chance; null when none may be used. */
+    private Worker cheapest(Handle h, boolean inTimeOnly) {
         meanWork = arrivals.meanOfFirst(NO_HINT_YET);
         meanValue = arrivals.meanOfSecond();
-        for (ModelState model : models.values()) {
-            model.unseenNow = model.usualUnseen(now, WAIT_MEMORY);
-        }
+        models.values().forEach(model -> model.unseenNow = model.usualUnseen(now, WAIT_MEMORY));
         double capacity = 0;
         double slotsInAll = 0;
         lockedOut = 0;
@@ -474,7 +477,8 @@
             for (Worker w : fleet) {
                 boolean overfull = w.out.size() > w.slots() * (OVERFULL * perSlot + OVERFULL_SPARE);
                 boolean open = h.mayGoTo(w) && w.mayTakeCold(h.work * h.slots) && now >= w.fullUntil
-                        && (resort > 0 || !overfull) && (resort > 1 || w.takesTrial(h));
+                        && (resort > 0 || !overfull) && (resort > 1 || w.takesTrial(h))
+                        && !(inTimeOnly && h.isHopeless(w, SECOND_BEST));
                 w.cost = open ? w.admittanceCost(h, kappa) : Double.POSITIVE_INFINITY;
                 least = Math.min(least, w.cost);
             }
@@ -629,9 +633,9 @@
                     heard();
                     double from = launch.startedAt > 0 ? launch.startedAt : launch.sentAt;
                     if (launch.startedAt <= 0) {
-                        double unexplained = now - launch.sentAt - launch.ownWait - launch.handle.work / speed();
-                        waits.add(now, unexplained, 1);
-                        model.waits.add(now, now - launch.sentAt, unexplained);
+                        double took = now - launch.sentAt;
+                        waits.add(now, took - launch.ownWait - launch.handle.work / speed(), 1);
+                        model.waits.add(now, took, took - launch.ownWait - launch.handle.work / speed());
                     }
                     if (launch.startedAt > 0 || launch.ownWait == 0) {
                         double run = Math.max(now - from, settings.round());
@@ -788,10 +792,9 @@
 
         private void occupy(double need, double run) {
             int last = startingSlot(need);
-            double end = slotFreeAt[last] + run;
-            slotFreeAt[last] = end;
+            slotFreeAt[last] += run;
             for (int i = 0; need > 1 && i < last; i++) {
-                slotFreeAt[i] = end;
+                slotFreeAt[i] = slotFreeAt[last];
             }
         }
 
--- a/src/main/java/wheelroute/decision/Samples.java
+++ b/src/main/java/wheelroute/decision/Samples.java
@@ -55,7 +55,7 @@
         return sum(2);
     }
 
-    /** The mean of a figure, samples weighing less with age down to nothing, and a mean of 0 weighing so many. */
+    /** The mean of a figure, samples weighing less with age, and a mean of 0 weighing so many. */
     double faded(int figure, double now, double memory, double prior) {
         double sum = 0;
         double weights = prior;
--- a/src/test/java/wheelroute/ChoiceTest.java
+++ b/src/test/java/wheelroute/ChoiceTest.java
@@ -290,4 +290,27 @@
         }
         assertTrue(w.count("launch") >= 3, "a new worker starts at the speed of warm ones: " + w.did);
     }
+
+    /** Guards against a bounce from a fleet with an idle worker, because the fastest one has a queue. */
+    @Test
+    public void anIdleWorkerIsTakenBeforeABounce() {
+        World w = world();
+        w.change(2, Double.NaN, Readiness.LEAVING);
+        for (int i = 0; i < 8; i++) {
+            w.serve(0.1, 0.1 / 4);
+        }
+        w.change(2, Double.NaN, Readiness.ACTIVE).change(1, Double.NaN, Readiness.LEAVING);
+        for (int i = 0; i < 8; i++) {
+            w.serve(0.1, 0.1 * 8);
+        }
+        w.change(1, Double.NaN, Readiness.ACTIVE).change(2, Double.NaN, Readiness.LEAVING);
+        for (int i = 0; i < 5; i++) {
+            w.take(1);
+        }
+        w.change(2, Double.NaN, Readiness.ACTIVE).did.clear();
+        for (int i = 0; i < 12 && w.count("bounce") == 0; i++) {
+            w.take(1);
+        }
+        assertTrue(w.did.stream().anyMatch(s -> s.endsWith(" 2")), w.did.toString());
+    }
 }
