--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -473,7 +473,7 @@
         double kappa = senders * arrivals.rate(now) * meanValue / (2 * (1 - load)) / capacity;
         double least = Double.POSITIVE_INFINITY;
         // The last resorts come in only when nothing better is open: overfull ones, then those on probation.
-        for (int resort = 0; resort < 3 && least == Double.POSITIVE_INFINITY; resort++) {
+        for (int resort = 0; resort < (inTimeOnly ? 1 : 3) && least == Double.POSITIVE_INFINITY; resort++) {
             for (Worker w : fleet) {
                 boolean overfull = w.out.size() > w.slots() * (OVERFULL * perSlot + OVERFULL_SPARE);
                 boolean open = h.mayGoTo(w) && w.mayTakeCold(h.work * h.slots) && now >= w.fullUntil
