--- a/src/main/java/wheelroute/adapter/Adapter.java
+++ b/src/main/java/wheelroute/adapter/Adapter.java
@@ -23,6 +23,7 @@
     private static final int NOTE_STARTED = 1;
     private static final int NOTE_PROGRESS = 2;
     private static final int OK = 200;
+    private static final String FREE_SLOTS = "x0";
 
     /** One instance: its policy, the handles of what it holds, and its names for what the wire repeats. */
     private static final class Instance {
@@ -237,10 +238,7 @@
         if (pairs == null) {
             return LoadReport.NOTHING;
         }
-        double held = Double.NaN;
-        double waiting = Double.NaN;
         double free = Double.NaN;
-        double memory = Double.NaN;
         for (int from = 0; from < pairs.length();) {
             int comma = pairs.indexOf(',', from);
             int end = comma < 0 ? pairs.length() : comma;
@@ -249,17 +247,10 @@
                 throw line.error("a load report is name:value pairs");
             }
             double value = number(pairs.substring(colon + 1, end));
-            switch (pairs.substring(from, colon)) {
-                case "busy_reqs" -> held = value;
-                case "pending" -> waiting = value;
-                case "x0" -> free = value;
-                case "x1" -> memory = value;
-                default -> {
-                }
-            }
+            free = colon - from == FREE_SLOTS.length() && pairs.startsWith(FREE_SLOTS, from) ? value : free;
             from = end + 1;
         }
-        return new LoadReport(held, waiting, free, memory);
+        return new LoadReport(free);
     }
 
     private double number(String s) throws WireException {
--- a/src/main/java/wheelroute/adapter/SettingsReader.java
+++ b/src/main/java/wheelroute/adapter/SettingsReader.java
@@ -39,13 +39,12 @@
         return new Settings(seed, new Ids.Zone(text("az", "")), (int) number("balancers", 1),
                 seconds("round_us", 0), offerings(), quotas(), number("over_share_worth", 1),
                 text("membership_mode", "push").equals("ask"), flag("family_info.tells_start"),
-                seconds("family_info.progress_us", 0), text("report.source", "silent").equals("pull"),
-                flag("permissions.probing"), flag("permissions.cancel"), flag("permissions.may_duplicate"),
+                seconds("family_info.progress_us", 0), flag("permissions.cancel"), flag("permissions.may_duplicate"),
                 flag("permissions.retry_after"), seconds("permissions.max_retry_after_us", 0),
-                (int) number("permissions.most_tries", 1), seconds("rules.stop_sending_within_us", 0),
+                (int) number("permissions.most_tries", 1),
                 number("rules.cold_from", 1), seconds("rules.cold_us", 0),
                 number("rules.tip_multiple", 1), seconds("rules.fall_us", 0),
-                number("prices.cross_zone", 0), number("prices.waste", 0), number("prices.late_fail", 0));
+                number("prices.cross_zone", 0));
     }
 
     private List<Settings.Offering> offerings() throws WireException {
@@ -58,9 +57,9 @@
             String model = i < models.length ? models[i] : "";
             rows.add(new Settings.Offering(new Ids.Offering(text(row + "name", "")), effect(row), group(row),
                     seconds(row + "on_time_us", 0), stretch(row, stretches, i),
-                    seconds(row + "hard_limit_us", 0), number(row + "worth", 1),
+                    number(row + "worth", 1),
                     number(row + "late_value", 0),
-                    seconds(row + "window_us", 0), flag(row + "streamed"),
+                    seconds(row + "window_us", 0),
                     model.isEmpty() || model.equals("-1") ? null : new Ids.Model(modelName(model))));
         }
         return rows;
--- a/src/main/java/wheelroute/decision/LoadReport.java
+++ b/src/main/java/wheelroute/decision/LoadReport.java
@@ -1,6 +1,6 @@
 package wheelroute.decision;
 
 /** A worker's own figures, late and noisy; NaN where it tells nothing. */
-public record LoadReport(double held, double waiting, double freeSlots, double freeMemory) {
-    public static final LoadReport NOTHING = new LoadReport(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+public record LoadReport(double freeSlots) {
+    public static final LoadReport NOTHING = new LoadReport(Double.NaN);
 }
--- a/src/main/java/wheelroute/decision/Settings.java
+++ b/src/main/java/wheelroute/decision/Settings.java
@@ -15,21 +15,16 @@
         boolean listMustBeAsked,
         boolean tellsStart,
         double progressEvery,
-        boolean reportsOnProbe,
-        boolean mayProbe,
         boolean mayCancel,
         boolean mayCopy,
         boolean clientsHearRetryAfter,
         double longestRetryAfter,
         int mostLaunches,
-        double drainGrace,
         double coldShare,
         double coldFor,
         double tipMultiple,
         double tipWindow,
-        double crossZonePrice,
-        double wastePrice,
-        double lateScrapPrice) {
+        double crossZonePrice) {
 
     /**
      * A row of the table of offerings.
@@ -41,7 +36,6 @@
      * @param model the one model that runs it, or null for any
      */
     public record Offering(Ids.Offering id, Effect effect, Group group, double quoted, double stretch,
-            double outerLimit, double value, double lateValue, double window, boolean streamed,
-            Ids.Model model) {
+            double value, double lateValue, double window, Ids.Model model) {
     }
 }
--- a/src/test/java/wheelroute/RulesTest.java
+++ b/src/test/java/wheelroute/RulesTest.java
@@ -125,7 +125,6 @@
     @Test
     public void aStartedStreamIsLeftAlone() {
         World.Given given = new World.Given();
-        given.streamed = true;
         World w = new World(given).list(4);
         Policy.Handle handle = w.take(0.1);
         handle.streaming(0);
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -27,19 +27,18 @@
         boolean mayCopy = true;
         boolean mustAsk;
         boolean tellsStart = true;
-        boolean streamed;
         int mostLaunches = 6;
         int dispatchers = 1;
         double retryAfter = 2;
 
         Settings settings() {
             return new Settings(7, new Ids.Zone("here"), dispatchers, 0.005, List.of(new Settings.Offering(
-                    new Ids.Offering("job"), effect, group, 1, 2, LIMIT, 3, 0.3, window, streamed, null),
-                    new Settings.Offering(new Ids.Offering("patient"), effect, group, 8, 2, LIMIT, 3, 0.3,
-                    window, false, null)),
+                    new Ids.Offering("job"), effect, group, 1, 2, 3, 0.3, window, null),
+                    new Settings.Offering(new Ids.Offering("patient"), effect, group, 8, 2, 3, 0.3,
+                    window, null)),
                     Map.of(new Ids.Tenant("t"), 10.0, new Ids.Tenant("greedy"), 10.0), 0.1, mustAsk,
-                    tellsStart, 0, false, false, true, mayCopy, retryAfter > 0,
-                    retryAfter, mostLaunches, 1, 0.25, 20, 4, 3, 0, 0, 0);
+                    tellsStart, 0, true, mayCopy, retryAfter > 0,
+                    retryAfter, mostLaunches, 0.25, 20, 4, 3, 0);
         }
     }
 
