--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -611,7 +611,7 @@
         /** Reports tell of slots only: by their queues, all dispatchers herd on what was idle a second ago.
          * Free slots alone: jobs running and slots free are not of one moment, and their sum overstates. */
         void reported(LoadReport report) {
-            if (!Double.isNaN(report.freeSlots())) {
+            if (settings.reportsFreeSlots() && !Double.isNaN(report.freeSlots())) {
                 model.slots = Math.max(model.slots, (int) Math.round(report.freeSlots()));
             }
         }
--- a/src/main/java/wheelroute/decision/Settings.java
+++ b/src/main/java/wheelroute/decision/Settings.java
@@ -15,6 +15,7 @@
         boolean listMustBeAsked,
         boolean tellsStart,
         double progressEvery,
+        boolean reportsFreeSlots,
         boolean mayCancel,
         boolean mayCopy,
         boolean clientsHearRetryAfter,
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -37,7 +37,7 @@
                     new Settings.Offering(new Ids.Offering("patient"), effect, group, 8, 2, 3, 0.3,
                     window, null)),
                     Map.of(new Ids.Tenant("t"), 10.0, new Ids.Tenant("greedy"), 10.0), 0.1, mustAsk,
-                    tellsStart, 0, true, mayCopy, retryAfter > 0,
+                    tellsStart, 0, true, true, mayCopy, retryAfter > 0,
                     retryAfter, mostLaunches, 0.25, 20, 4, 3, 0);
         }
     }
