Clean-up: nothing worked out twice a choice, one ordered map of workers

The bound of a bounce and the models' waits are worked out once a choice, not again at every worker; a launch takes the waits that its choice worked out. The workers' map is in the order of ids, so the second list of them, its copy at each wake and a sort go. Tests share their loops, and keep their assertions; the one on equal draws is plainer.

--- a/src/main/java/wheelroute/adapter/SettingsReader.java
+++ b/src/main/java/wheelroute/adapter/SettingsReader.java
@@ -40,9 +40,9 @@
                 seconds("round_us", 0), offerings(), quotas(), number("over_share_worth", 1),
                 text("membership_mode", "push").equals("ask"), flag("family_info.tells_start"),
                 seconds("family_info.progress_us", 0),
-                text("family_info.report_x0", "").equals("free_slots"), flag("permissions.cancel"), flag("permissions.may_duplicate"),
-                flag("permissions.retry_after"), seconds("permissions.max_retry_after_us", 0),
-                (int) number("permissions.most_tries", 1),
+                text("family_info.report_x0", "").equals("free_slots"), flag("permissions.cancel"),
+                flag("permissions.may_duplicate"), flag("permissions.retry_after"),
+                seconds("permissions.max_retry_after_us", 0), (int) number("permissions.most_tries", 1),
                 number("rules.cold_from", 1), seconds("rules.cold_us", 0),
                 number("rules.tip_multiple", 1), seconds("rules.fall_us", 0),
                 number("prices.cross_zone", 0));
@@ -58,9 +58,7 @@
             String model = i < models.length ? models[i] : "";
             rows.add(new Settings.Offering(new Ids.Offering(text(row + "name", "")), effect(row), group(row),
                     seconds(row + "on_time_us", 0), stretch(row, stretches, i),
-                    number(row + "worth", 1),
-                    number(row + "late_value", 0),
-                    seconds(row + "window_us", 0),
+                    number(row + "worth", 1), number(row + "late_value", 0), seconds(row + "window_us", 0),
                     model.isEmpty() || model.equals("-1") ? null : new Ids.Model(modelName(model))));
         }
         return rows;
--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -8,6 +8,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.zip.CRC32;
 
 /**
@@ -100,12 +102,12 @@
     private final Settings settings;
     private final Dispatcher dispatcher;
     private final Map<Ids.Offering, Row> rows = new HashMap<>();
-    private final Map<Ids.Worker, Worker> workers = new HashMap<>();
+    /** Every worker still named or holding a launch of ours, in the order of their ids. */
+    private final Map<Ids.Worker, Worker> workers =
+            new TreeMap<>(Comparator.comparingLong(Ids.Worker::value));
     private final Map<Ids.Model, ModelState> models = new HashMap<>();
-    /** The workers that the list calls active, in the order of their ids. */
+    /** Those that the list calls active, in the same order. */
     private final List<Worker> fleet = new ArrayList<>();
-    /** Every worker still named or holding a launch of ours, in the same order. */
-    private final List<Worker> known = new ArrayList<>();
     private final Map<Ids.Tenant, Samples> uses = new HashMap<>();
     private final Samples arrivals = new Samples(KEPT_ARRIVALS);
     private final CRC32 crc = new CRC32();
@@ -147,7 +149,7 @@
             watchAgainAt = Double.NaN;
             dispatcher.watchList();
         }
-        for (Worker w : new ArrayList<>(known)) {
+        for (Worker w : workers.values()) {
             if (!w.out.isEmpty()) {
                 w.noteRunning();
                 lookForSilence(w);
@@ -188,15 +190,11 @@
                 fleet.add(w);
             }
         }
-        fleet.sort(Worker.BY_ID);
-        lost.sort(Worker.BY_ID);
+        lost.sort(Comparator.comparingLong(w -> w.id.value()));
         for (Worker w : lost) {
             rescueAll(w, true);
         }
         workers.values().removeIf(w -> !w.ready && w.out.isEmpty());
-        known.clear();
-        known.addAll(workers.values());
-        known.sort(Worker.BY_ID);
     }
 
     public void probed(Ids.Worker id, boolean answered, double ago, LoadReport report) {
@@ -216,12 +214,11 @@
         }
         Handle handle = new Handle(submission, row);
         if (!submission.repeated()) {
-            // Guards against a retry storm taken for load: what was bounced asks again at once.
+            // Guards against a retry storm: what is bounced asks again at once, and is no load and no use.
             arrivals.add(now, handle.work, row.value);
-        }
-        // Guards against a tenant that seems past its share by the retries that its own bounces cause.
-        if (!submission.repeated() && settings.quotas().getOrDefault(submission.tenant(), 0.0) > 0) {
-            uses.computeIfAbsent(submission.tenant(), t -> new Samples(KEPT_ARRIVALS)).add(now, 1, 0);
+            if (settings.quotas().getOrDefault(submission.tenant(), 0.0) > 0) {
+                uses.computeIfAbsent(submission.tenant(), t -> new Samples(KEPT_ARRIVALS)).add(now, 1, 0);
+            }
         }
         copiesLeft = Math.min(MOST_COPIES, copiesLeft + COPIES_EARNED);
         handle.place();
@@ -368,11 +365,15 @@
 
         /** Sends it to the cheapest worker, or gives it up at once if nothing is left to wait for. */
         private void place() {
-            Worker best = mayLaunch() ? cheapest(this, false) : null;
+            Worker best = mayLaunch() ? cheapest(this, null) : null;
             Worker choice = best;
-            if (best != null && out == 0 && mayBounce() && isHopeless(best, 1)) {
-                // Guards against a bounce beside idle workers, because the fastest one has a queue.
-                choice = cheapest(this, true);
+            if (best != null && out == 0 && mayBounce()) {
+                double shared = patience() * Math.sqrt(row.value);
+                double fair = fairness();
+                if (isHopeless(best, 1, shared, fair)) {
+                    // Guards against a bounce beside idle workers, because the fastest one has a queue.
+                    choice = cheapest(this, w -> !isHopeless(w, SECOND_BEST, shared, fair));
+                }
             }
             if (choice != null) {
                 launchAt(choice);
@@ -381,12 +382,10 @@
             }
         }
 
-        private boolean isHopeless(Worker best, double part) {
-            double wait = best.ownWait(slots) + best.unseen(FRESH, best.model.usualUnseen(now, FRESH));
-            double run = work / best.speed();
+        private boolean isHopeless(Worker w, double part, double shared, double fair) {
+            double wait = w.ownWaitNow + w.unseen(FRESH, w.model.freshNow);
             // Waiting is what a bounce spares: that a job looks too long is only a rough hint's word.
-            double shared = patience() * Math.sqrt(row.value);
-            return wait > part * Math.min(row.borne(work, run), shared) * fairness();
+            return wait > part * Math.min(row.borne(work, work / w.speed()), shared) * fair;
         }
 
         /** Guards against a tenant far past its share crowding out others: it bears less, they bear all. */
@@ -410,8 +409,8 @@
 
         private void launchAt(Worker w) {
             Launch launch = new Launch(this, launches.size(), w, now);
-            launch.ownWait = w.ownWait(slots);
-            launch.expectedWait = w.wait(slots);
+            launch.ownWait = w.ownWaitNow;
+            launch.expectedWait = w.waitNow;
             launches.add(launch);
             out++;
             launchesOut++;
@@ -425,7 +424,7 @@
         private void giveUp(Worker best) {
             done = true;
             if (mayBounce()) {
-                double after = best == null ? FULL_PAUSE : best.wait(slots);
+                double after = best == null ? FULL_PAUSE : best.waitNow;
                 dispatcher.bounce(submission.id(), settings.clientsHearRetryAfter()
                         ? Math.min(settings.longestRetryAfter(), after) : 0);
             } else {
@@ -452,11 +451,11 @@
 
     // ---- the ordinary path
 
-    /** The worker of least admittance cost; of near ties one by chance; null when none may be used. */
-    private Worker cheapest(Handle h, boolean inTimeOnly) {
+    /** The worker of least admittance cost, ties by chance, or null; a second choice must meet its test. */
+    private Worker cheapest(Handle h, Predicate<Worker> second) {
         meanWork = arrivals.meanOfFirst(NO_HINT_YET);
         meanValue = arrivals.meanOfSecond();
-        models.values().forEach(model -> model.unseenNow = model.usualUnseen(now, WAIT_MEMORY));
+        models.values().forEach(model -> model.figure(now));
         double capacity = 0;
         double slotsInAll = 0;
         lockedOut = 0;
@@ -473,12 +472,13 @@
         double kappa = senders * arrivals.rate(now) * meanValue / (2 * (1 - load)) / capacity;
         double least = Double.POSITIVE_INFINITY;
         // The last resorts come in only when nothing better is open: overfull ones, then those on probation.
-        for (int resort = 0; resort < (inTimeOnly ? 1 : 3) && least == Double.POSITIVE_INFINITY; resort++) {
+        int resorts = second == null ? 3 : 1;
+        for (int resort = 0; resort < resorts && least == Double.POSITIVE_INFINITY; resort++) {
             for (Worker w : fleet) {
                 boolean overfull = w.out.size() > w.slots() * (OVERFULL * perSlot + OVERFULL_SPARE);
                 boolean open = h.mayGoTo(w) && w.mayTakeCold(h.work * h.slots) && now >= w.fullUntil
                         && (resort > 0 || !overfull) && (resort > 1 || w.takesTrial(h))
-                        && !(inTimeOnly && h.isHopeless(w, SECOND_BEST));
+                        && (second == null || second.test(w));
                 w.cost = open ? w.admittanceCost(h, kappa) : Double.POSITIVE_INFINITY;
                 least = Math.min(least, w.cost);
             }
@@ -551,8 +551,6 @@
 
     /** A worker as this dispatcher knows it: what the list says, and its own record. */
     private final class Worker {
-        static final Comparator<Worker> BY_ID = Comparator.comparingLong(w -> w.id.value());
-
         final Ids.Worker id;
         Listing listing;
         ModelState model;
@@ -575,6 +573,7 @@
         private double[] slotFreeAt = new double[1];
         private double speedNow;
         private double speedAt = Double.NEGATIVE_INFINITY;
+        private double ownWaitNow;
         private double waitNow;
         private double backlogNow;
 
@@ -608,8 +607,7 @@
             silent = false;
         }
 
-        /** Reports tell of slots only: by their queues, all dispatchers herd on what was idle a second ago.
-         * Free slots alone: jobs running and slots free are not of one moment, and their sum overstates. */
+        /** Free slots alone: by queues dispatchers herd; running plus free, of two moments, overstates. */
         void reported(LoadReport report) {
             if (settings.reportsFreeSlots() && !Double.isNaN(report.freeSlots())) {
                 model.slots = Math.max(model.slots, (int) Math.round(report.freeSlots()));
@@ -634,8 +632,9 @@
                     double from = launch.startedAt > 0 ? launch.startedAt : launch.sentAt;
                     if (launch.startedAt <= 0) {
                         double took = now - launch.sentAt;
-                        waits.add(now, took - launch.ownWait - launch.handle.work / speed(), 1);
-                        model.waits.add(now, took, took - launch.ownWait - launch.handle.work / speed());
+                        double unexplained = took - launch.ownWait - launch.handle.work / speed();
+                        waits.add(now, unexplained, 1);
+                        model.waits.add(now, took, unexplained);
                     }
                     if (launch.startedAt > 0 || launch.ownWait == 0) {
                         double run = Math.max(now - from, settings.round());
@@ -699,7 +698,7 @@
         double speed() {
             if (now - speedAt > SWEEP) {
                 double prior = PRIOR_JOBS * meanWork;
-                double done = prior * model.speed();
+                double done = prior * model.speed;
                 double took = prior;
                 for (int i = 0; i < runs.size(); i++) {
                     double weight = fade(now - runs.time(i), SPEED_MEMORY);
@@ -723,14 +722,15 @@
 
         /** Rule 4: our share of what a cold worker may be sent within any window. */
         boolean mayTakeCold(double work) {
-            if (warmth(now - settings.tipWindow()) >= 1) {
+            double warm = warmth(now - settings.tipWindow());
+            if (warm >= 1) {
                 return true;
             }
             double sent = work;
             for (double[] entry : sentCold) {
                 sent += entry[0] > now - settings.tipWindow() ? entry[1] : 0;
             }
-            double capacity = warmth(now - settings.tipWindow()) * model.speed() * slots();
+            double capacity = warm * model.speed * slots();
             double budget = settings.tipMultiple() * capacity * settings.tipWindow()
                     / Math.max(1, settings.dispatchers());
             return sent <= COLD_USE * budget;
@@ -745,10 +745,11 @@
             }
         }
 
-        /** Works out the wait and the backlog once for the costs that follow. */
+        /** Works out the waits and the backlog once, for the costs and the launch that follow. */
         void figure(double need) {
             double unseen = unseen(WAIT_MEMORY, model.unseenNow);
-            waitNow = ownWait(need) + unseen;
+            ownWaitNow = ownWait(need);
+            waitNow = ownWaitNow + unseen;
             double sum = 0;
             for (int i = 0; i < slots(); i++) {
                 sum += slotFreeAt[i];
@@ -756,10 +757,6 @@
             backlogNow = sum / slots() + unseen;
         }
 
-        double wait(double need) {
-            return ownWait(need) + unseen(WAIT_MEMORY, model.unseenNow);
-        }
-
         /** How long until a job starts that comes after ours. */
         double ownWait(double need) {
             int n = slots();
@@ -960,28 +957,26 @@
         final Samples runs = new Samples(KEPT_ARRIVALS);
         int slots;
 
-        private double speedNow = STANDARD_SPEED;
+        double speed = STANDARD_SPEED;
 
         /** How long launches lately waited to start, and how much of it ours do not explain. */
         final Samples waits;
         double unseenNow;
+        double freshNow;
 
         ModelState(Samples waits) {
             this.waits = waits;
         }
 
         /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
-        double usualUnseen(double now, double memory) {
-            return waits.faded(2, now, memory, WAIT_PRIOR);
+        void figure(double now) {
+            unseenNow = waits.faded(2, now, WAIT_MEMORY, WAIT_PRIOR);
+            freshNow = waits.faded(2, now, FRESH, WAIT_PRIOR);
         }
 
         void ran(double now, double work, double run) {
             runs.add(now, work, run);
-            speedNow = runs.sumOfFirst() / runs.sumOfSecond();
-        }
-
-        double speed() {
-            return speedNow;
+            speed = runs.sumOfFirst() / runs.sumOfSecond();
         }
     }
 }
--- a/src/test/java/wheelroute/ChoiceTest.java
+++ b/src/test/java/wheelroute/ChoiceTest.java
@@ -59,8 +59,9 @@
         World a = world();
         World b = world();
         for (int i = 0; i < 40; i++) {
-            chosen.add(a.serve(0.1, 0.1));
-            assertEquals(b.serve(0.1, 0.1), a.lastWorker() == 0 ? b.lastWorker() : a.lastWorker());
+            long byA = a.serve(0.1, 0.1);
+            chosen.add(byA);
+            assertEquals(b.serve(0.1, 0.1), byA);
         }
         assertEquals(chosen, Set.of(1L, 2L));
     }
@@ -85,17 +86,7 @@
     /** Guards against a worker that errs at once, sheds its work, and so looks cheapest. */
     @Test
     public void aWorkerThatErrsFastIsPutOnProbation() {
-        World w = world();
-        int toBad = 0;
-        for (int i = 0; i < 100; i++) {
-            w.did.clear();
-            Policy.Handle handle = w.take(0.1);
-            for (int launch = 0; !handle.isOver(); launch++) {
-                boolean bad = w.lastWorker() == 1;
-                toBad += bad ? 1 : 0;
-                w.pass(0.02).end(handle, launch, bad ? Outcome.ERRED : Outcome.ANSWERED);
-            }
-        }
+        int toBad = world().launchesToBad(100, 0.1, worker -> worker == 1, Outcome.ERRED);
         assertTrue(toBad < 12, "launches to the failing worker: " + toBad);
     }
 
@@ -182,10 +173,7 @@
         w.end(first, 0, Outcome.ANSWERED);
         w.pass(1 - overlap);
         w.end(second, 0, Outcome.ANSWERED);
-        w.pass(60).did.clear();
-        while (w.count("bounce") == 0 && w.count("launch") < 20) {
-            w.take(1);
-        }
+        w.pass(60).fill(1);
         assertEquals(w.count("launch"), launches, w.did.toString());
     }
 
@@ -229,15 +217,7 @@
     @Test
     public void failuresLockOutMoreThanHalf() {
         World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(4);
-        int dead = 0;
-        for (int i = 0; i < 100; i++) {
-            Policy.Handle handle = w.take(0.01);
-            for (int launch = 0; !handle.isOver(); launch++) {
-                boolean isDead = w.lastWorker() > 1;
-                dead += isDead ? 1 : 0;
-                w.pass(0.02).end(handle, launch, isDead ? Outcome.UNCONNECTED : Outcome.ANSWERED);
-            }
-        }
+        int dead = w.launchesToBad(100, 0.01, worker -> worker > 1, Outcome.UNCONNECTED);
         assertTrue(dead < 20, "launches to unreachable workers: " + dead);
     }
 
@@ -284,10 +264,7 @@
             w.serve(0.2, 0.8);
         }
         w.pass(60).change(2, Double.NaN, Readiness.GONE).change(3, Double.NaN, Readiness.ACTIVE);
-        w.did.clear();
-        while (w.count("bounce") == 0) {
-            w.take(0.5);
-        }
+        w.fill(0.5);
         assertTrue(w.count("launch") >= 3, "a new worker starts at the speed of warm ones: " + w.did);
     }
 
@@ -301,10 +278,7 @@
                 w.serve(0.1, slow == 1 ? 0.8 : 0.025);
             }
         }
-        w.change(2, Double.NaN, Readiness.ACTIVE).did.clear();
-        for (int i = 0; i < 40 && w.count("bounce") == 0; i++) {
-            w.take(1);
-        }
+        w.change(2, Double.NaN, Readiness.ACTIVE).fill(1);
         assertTrue(w.did.stream().anyMatch(s -> s.endsWith(" 2")), w.did.toString());
     }
 }
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongPredicate;
 import wheelroute.decision.Dispatcher;
 import wheelroute.decision.Effect;
 import wheelroute.decision.Group;
@@ -18,6 +19,7 @@
 final class World implements Dispatcher {
     static final double START = 100;
     static final double LIMIT = 10;
+    private static final int MOST_TO_FILL = 40;
 
     /** The settings a case may vary, with plain values to start from. */
     static final class Given {
@@ -120,6 +122,28 @@
         return worker;
     }
 
+    /** Submissions until the first bounce; what was done before is forgotten. */
+    void fill(double hint) {
+        did.clear();
+        for (int i = 0; i < MOST_TO_FILL && count("bounce") == 0; i++) {
+            take(hint);
+        }
+    }
+
+    /** Submissions one after the other, each to its end; counts the launches to bad workers. */
+    int launchesToBad(int submissions, double hint, LongPredicate isBad, Outcome outcome) {
+        int toBad = 0;
+        for (int i = 0; i < submissions; i++) {
+            Policy.Handle handle = take(hint);
+            for (int launch = 0; !handle.isOver(); launch++) {
+                boolean bad = isBad.test(lastWorker());
+                toBad += bad ? 1 : 0;
+                pass(0.02).end(handle, launch, bad ? outcome : Outcome.ANSWERED);
+            }
+        }
+        return toBad;
+    }
+
     String last() {
         return did.isEmpty() ? "" : did.get(did.size() - 1);
     }
