--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -48,6 +48,10 @@
     private static final double FRESH = 1.5;
     /** Its model's mean wait weighs as much as so many of a worker's own, which one long job can spoil. */
     private static final double WAIT_PRIOR = 4;
+    /** A model's own waits are believed from the first few: one launch a second brings no more. */
+    private static final double MODEL_PRIOR = 1;
+    /** Waits of a model are remembered until so many launches are, however long that takes. */
+    private static final double ENOUGH_LAUNCHES = 16;
     /** How often overdue launches are looked for: well under the shortest allowance. */
     private static final double SWEEP = 0.1;
     /** Silence this long past what was expected means trouble: it covers transit and a pause. */
@@ -56,7 +60,7 @@
     private static final double SILENCE_FACTOR = 2;
     /** Copies for silence: so many a submission, a few saved up. Guards against a jam fed by its copies. */
     private static final double COPIES_EARNED = 0.04;
-    private static final double MOST_COPIES = 6;
+    private static final double MOST_COPIES = 2;
     /** Failures within this long count against a worker. */
     private static final double FAILURE_MEMORY = 10;
     /** This many recent failures put a worker on probation; one can befall any. */
@@ -115,7 +119,7 @@
     private double now;
     /** One for all models where starts are not told: waits guessed from answers would show their speeds. */
     private final Samples roughWaits = new Samples(KEPT_ARRIVALS);
-    private double copiesLeft = MOST_COPIES;
+    private double copiesLeft;
     /** Worked out once for each choice: the means are asked for at every worker. */
     private double meanWork = NO_HINT_YET;
     private double meanValue = 1;
@@ -455,7 +459,9 @@
     private Worker cheapest(Handle h, Predicate<Worker> second) {
         meanWork = arrivals.meanOfFirst(NO_HINT_YET);
         meanValue = arrivals.meanOfSecond();
-        models.values().forEach(model -> model.figure(now));
+        // Guards against a hundred near idle dispatchers that forget a model's waits between two launches.
+        double stretch = Math.max(1, ENOUGH_LAUNCHES / (WAIT_MEMORY * arrivals.rate(now)));
+        models.values().forEach(model -> model.figure(now, stretch));
         double capacity = 0;
         double slotsInAll = 0;
         lockedOut = 0;
@@ -969,9 +975,9 @@
         }
 
         /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
-        void figure(double now) {
-            unseenNow = waits.faded(2, now, WAIT_MEMORY, WAIT_PRIOR);
-            freshNow = waits.faded(2, now, FRESH, WAIT_PRIOR);
+        void figure(double now, double stretch) {
+            unseenNow = waits.faded(2, now, stretch * WAIT_MEMORY, MODEL_PRIOR);
+            freshNow = waits.faded(2, now, stretch * FRESH, MODEL_PRIOR);
         }
 
         void ran(double now, double work, double run) {
