--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -153,9 +153,11 @@
             watchAgainAt = Double.NaN;
             dispatcher.watchList();
         }
+        models.values().forEach(model -> model.stillWaiting = 0);
         for (Worker w : workers.values()) {
             if (!w.out.isEmpty()) {
                 w.noteRunning();
+                w.noteWaiting();
                 lookForSilence(w);
             }
         }
@@ -630,6 +632,16 @@
             model.slots = Math.max(model.slots, running);
         }
 
+        /** Guards against believing only the lucky: what waits past its model's mean has not started yet. */
+        void noteWaiting() {
+            for (Launch launch : out) {
+                double waited = now - launch.sentAt - launch.ownWait;
+                if (settings.tellsStart() && !(launch.startedAt > 0) && waited > model.unseenNow) {
+                    model.stillWaiting += waited - model.unseenNow;
+                }
+            }
+        }
+
         /** What the end of a launch tells of its worker. */
         void learn(Launch launch, Outcome outcome) {
             switch (outcome) {
@@ -969,6 +981,8 @@
         final Samples waits;
         double unseenNow;
         double freshNow;
+        /** By how much in all the launches not yet started have waited past the mean, as last looked at. */
+        double stillWaiting;
 
         ModelState(Samples waits) {
             this.waits = waits;
@@ -976,8 +990,8 @@
 
         /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
         void figure(double now, double stretch) {
-            unseenNow = waits.faded(2, now, stretch * WAIT_MEMORY, MODEL_PRIOR);
-            freshNow = waits.faded(2, now, stretch * FRESH, MODEL_PRIOR);
+            unseenNow = waits.faded(2, now, stretch * WAIT_MEMORY, MODEL_PRIOR, stillWaiting);
+            freshNow = waits.faded(2, now, stretch * FRESH, MODEL_PRIOR, stillWaiting);
         }
 
         void ran(double now, double work, double run) {
--- a/src/main/java/wheelroute/decision/Samples.java
+++ b/src/main/java/wheelroute/decision/Samples.java
@@ -55,9 +55,9 @@
         return sum(2);
     }
 
-    /** The mean of a figure, samples weighing less with age, and a mean of 0 weighing so many. */
-    double faded(int figure, double now, double memory, double prior) {
-        double sum = 0;
+    /** The mean of a figure, samples weighing less with age, and so many more that add up to the excess. */
+    double faded(int figure, double now, double memory, double prior, double excess) {
+        double sum = excess;
         double weights = prior;
         for (int i = 0; i < size; i++) {
             double weight = Math.max(0, 1 - (now - time(i)) / memory);
