Guessed waits keep their prior of four

Cause: where starts are not told a wait is read off an answer, with all the noise of the job's size; a prior of one took it at its word.

--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -594,8 +594,9 @@
             boolean again = listing != null && entry.startedAt() > 0
                     && !(entry.startedAt() <= listing.startedAt());
             listing = entry;
-            model = models.computeIfAbsent(entry.model(), m -> new ModelState(
-                    settings.tellsStart() ? new Samples(KEPT_ARRIVALS) : roughWaits));
+            model = models.computeIfAbsent(entry.model(), m -> settings.tellsStart()
+                    ? new ModelState(new Samples(KEPT_ARRIVALS), MODEL_PRIOR)
+                    : new ModelState(roughWaits, WAIT_PRIOR));
             named = true;
             ready = entry.readiness() == Listing.Readiness.ACTIVE;
             if (again) {
@@ -984,14 +985,18 @@
         /** By how much in all the launches not yet started have waited past the mean, as last looked at. */
         double stillWaiting;
 
-        ModelState(Samples waits) {
+        /** Waits guessed from answers are as noisy as the sizes of jobs. */
+        final double prior;
+
+        ModelState(Samples waits, double prior) {
             this.waits = waits;
+            this.prior = prior;
         }
 
         /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
         void figure(double now, double stretch) {
-            unseenNow = waits.faded(2, now, stretch * WAIT_MEMORY, MODEL_PRIOR, stillWaiting);
-            freshNow = waits.faded(2, now, stretch * FRESH, MODEL_PRIOR, stillWaiting);
+            unseenNow = waits.faded(2, now, stretch * WAIT_MEMORY, prior, stillWaiting);
+            freshNow = waits.faded(2, now, stretch * FRESH, prior, stillWaiting);
         }
 
         void ran(double now, double work, double run) {
