--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -123,6 +123,7 @@
     /** Worked out once for each choice: the means are asked for at every worker. */
     private double meanWork = NO_HINT_YET;
     private double meanValue = 1;
+    private double meanWorth = 1;
     private int launchesOut;
     private int lockedOut;
     private double watchAgainAt = Double.NaN;
@@ -461,6 +462,7 @@
     private Worker cheapest(Handle h, Predicate<Worker> second) {
         meanWork = arrivals.meanOfFirst(NO_HINT_YET);
         meanValue = arrivals.meanOfSecond();
+        meanWorth = arrivals.meanOfProduct();
         // Guards against a hundred near idle dispatchers that forget a model's waits between two launches.
         double stretch = Math.max(1, ENOUGH_LAUNCHES / (WAIT_MEMORY * arrivals.rate(now)));
         models.values().forEach(model -> model.figure(now, stretch));
@@ -843,10 +845,10 @@
             double added = run * h.slots / slots();
             double value = h.row.value;
             double fine = ownKappa * (2 * backlogNow * added + added * added);
-            // A price in value, put in the cost's own coin: the wait by which lateness would cost as much.
             double quoted = h.row.quotedFor(h.work);
+            // A price in mean worth, put in the cost's own coin: a late answer loses this one's worth.
             double crossing = listing.zone().equals(settings.zone()) ? 0
-                    : settings.crossZonePrice() * meanValue * quoted
+                    : settings.crossZonePrice() * meanWorth * quoted / h.work
                     / Math.max(LEAST_LOSS, 1 - h.row.of.lateValue());
             double risk = failures.countSince(now - FAILURE_MEMORY) / (double) KEPT;
             double slack = Math.max(0, quoted - run);
--- a/src/main/java/wheelroute/decision/Samples.java
+++ b/src/main/java/wheelroute/decision/Samples.java
@@ -84,6 +84,14 @@
         return size > 0 ? sumOfSecond() / size : 1;
     }
 
+    double meanOfProduct() {
+        double sum = 0;
+        for (int i = 0; i < size; i++) {
+            sum += first(i) * second(i);
+        }
+        return size > 0 ? sum / size : 1;
+    }
+
     private double span(double now) {
         double oldest = time(size < kept.length / 3 ? 0 : next);
         return Math.max(now - oldest, 1);
