--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -51,7 +51,7 @@
     /** A model's own waits are believed from the first few: one launch a second brings no more. */
     private static final double MODEL_PRIOR = 1;
     /** Waits of a model are remembered until so many launches are, however long that takes. */
-    private static final double ENOUGH_LAUNCHES = 16;
+    private static final double ENOUGH_LAUNCHES = 32;
     /** How often overdue launches are looked for: well under the shortest allowance. */
     private static final double SWEEP = 0.1;
     /** Silence this long past what was expected means trouble: it covers transit and a pause. */
