--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -52,13 +52,14 @@
     private static final double MODEL_PRIOR = 1;
     /** Waits of a model are remembered until so many launches are, however long that takes. */
     private static final double ENOUGH_LAUNCHES = 32;
+    private static final double MOST_STRETCH = 16;
     /** How often overdue launches are looked for: well under the shortest allowance. */
     private static final double SWEEP = 0.1;
     /** Silence this long past what was expected means trouble: it covers transit and a pause. */
     private static final double SILENCE = 0.5;
     /** Expected times may be out by this factor before silence counts. */
     private static final double SILENCE_FACTOR = 2;
-    /** Copies for silence: so many a submission, a few saved up. Guards against a jam fed by its copies. */
+    /** Copies for silence: so many a submission, none to begin with. Guards against a jam fed by its copies. */
     private static final double COPIES_EARNED = 0.04;
     private static final double MOST_COPIES = 2;
     /** Failures within this long count against a worker. */
@@ -158,8 +159,8 @@
         for (Worker w : workers.values()) {
             if (!w.out.isEmpty()) {
                 w.noteRunning();
-                w.noteWaiting();
                 lookForSilence(w);
+                w.noteWaiting();
             }
         }
     }
@@ -464,7 +465,8 @@
         meanValue = arrivals.meanOfSecond();
         meanWorth = arrivals.meanOfProduct();
         // Guards against a hundred near idle dispatchers that forget a model's waits between two launches.
-        double stretch = Math.max(1, ENOUGH_LAUNCHES / (WAIT_MEMORY * arrivals.rate(now)));
+        double stretch = Math.max(1, Math.min(MOST_STRETCH,
+                ENOUGH_LAUNCHES / (WAIT_MEMORY * arrivals.rate(now))));
         models.values().forEach(model -> model.figure(now, stretch));
         double capacity = 0;
         double slotsInAll = 0;
@@ -637,9 +639,11 @@
 
         /** Guards against believing only the lucky: what waits past its model's mean has not started yet. */
         void noteWaiting() {
-            for (Launch launch : out) {
+            // A silent worker's launches tell of the worker, not of its model.
+            for (int i = 0; i < out.size() && settings.tellsStart() && !silent; i++) {
+                Launch launch = out.get(i);
                 double waited = now - launch.sentAt - launch.ownWait;
-                if (settings.tellsStart() && !(launch.startedAt > 0) && waited > model.unseenNow) {
+                if (!(launch.startedAt > 0) && waited > model.unseenNow) {
                     model.stillWaiting += waited - model.unseenNow;
                 }
             }
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -122,6 +122,15 @@
         return worker;
     }
 
+    /** Serves enough to have earned a copy or two; what was done is forgotten. */
+    World earnCopies() {
+        for (int i = 0; i < MOST_TO_FILL; i++) {
+            serve(0.1, 0.1);
+        }
+        did.clear();
+        return this;
+    }
+
     /** Submissions until the first bounce; what was done before is forgotten. */
     void fill(double hint) {
         did.clear();
