--- a/src/main/java/wheelroute/adapter/Adapter.java
+++ b/src/main/java/wheelroute/adapter/Adapter.java
@@ -213,10 +213,11 @@
     }
 
     private void probed() throws WireException {
-        Ids.Worker worker = new Ids.Worker(line.whole("worker"));
-        boolean answered = line.whole("rc") == OK;
-        double ago = line.whole("elapsed_us") / MICROS;
-        current.policy.probed(worker, answered, ago, report());
+        // Nothing is probed, but what comes must be the wire all the same.
+        line.whole("worker");
+        line.whole("rc");
+        line.whole("elapsed_us");
+        report();
     }
 
     private static Outcome outcome(int code) {
--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -16,7 +16,7 @@
  * All decisions of one dispatcher: where each submission goes, and what is done when that goes wrong.
  *
  * <p>How it is called: {@link #at} gives the time before each event; {@link #take} accepts a submission and
- * gives a {@link Handle}, on which all that happens to it later is a call; {@link #listed}, {@link #probed}
+ * gives a {@link Handle}, on which all that happens to it later is a call; {@link #listed}, {@link #listFailed}
  * and {@link #woken} are the events of no one submission. It acts through {@link Dispatcher} only, and the
  * words of both are the records beside this file. One thread, no clock, no I/O: the same events give the same
  * actions.
@@ -25,12 +25,12 @@
  * section 4.1; docs/design.md tells what was kept of it, what was changed, and when each exception acts.
  */
 public final class Policy {
-    /** Costs this close to the cheapest are a tie: hints are too rough to tell them apart. */
-    private static final double TIE_BAND = 0.10;
+    /** Costs this close to the cheapest are a tie: a wider band gives away more than rough hints cost. */
+    private static final double TIE_BAND = 0.05;
     /** Offered load is held below this: the cost's factor has a pole at 1. */
     private static final double MOST_LOAD = 0.95;
-    /** Speed is smoothed over this long: shorter follows single jobs' noise, longer misses a slowdown. */
-    private static final double SPEED_MEMORY = 5;
+    /** Speeds and waits are smoothed over this long: shorter follows single jobs, longer misses a change. */
+    private static final double MEMORY = 5;
     /** A worker's own record weighs as much as the others' after this many jobs of mean size. */
     private static final double PRIOR_JOBS = 2;
     /** Samples kept of each figure: enough for a mean, few enough to forget. */
@@ -42,8 +42,6 @@
     private static final double OVERFULL_SPARE = 1;
     /** A job past its expected end is taken to need this part of what it has had: sizes are heavy-tailed. */
     private static final double TAIL = 0.3;
-    /** Waits that ours do not explain are remembered longer: a worker gets few of our launches a second. */
-    private static final double WAIT_MEMORY = 5;
     /** A bounce needs evidence this fresh: queues can empty faster than old waits are forgotten. */
     private static final double FRESH = 1.5;
     /** Its model's mean wait weighs as much as so many of a worker's own, which one long job can spoil. */
@@ -70,8 +68,6 @@
     private static final int GOOD_TRIALS = 3;
     private static final double FIRST_PAUSE = 0.5;
     private static final double LONGEST_PAUSE = 4;
-    /** At most this part is locked out for silence at once; past that the trouble is not the workers'. */
-    private static final double MOST_LOCKED_OUT = 0.5;
     /** A worker that turned a launch away is left alone this long: about a job's time. */
     private static final double FULL_PAUSE = 0.3;
     /** Of our share of a cold worker's budget this much is used: hints are rough and its size is a guess. */
@@ -83,8 +79,6 @@
     /** A failed watch is asked for again after this long, doubling up to the last. */
     private static final double FIRST_ASK = 0.5;
     private static final double LONGEST_ASK = 4;
-    /** Bounced when the wait at the best worker would take the answer past this many quoted times. */
-    private static final double HOPELESS = 1;
     /** A second choice must wait at most this part of what is borne: overload must not fill every queue. */
     private static final double SECOND_BEST = 0.4;
     /** But a wait of this part of the quoted time is borne in any case. */
@@ -95,14 +89,11 @@
     private static final double CERTAIN = 8;
     /** No worker is taken to run more jobs at once, whatever a report says: arithmetic must stay bounded. */
     private static final int MOST_SLOTS = 64;
-    /** Launches ahead that are followed one by one; what lies behind them counts in bulk. */
-    private static final int FOLLOWED = 24;
-    /** Hints are believed until runs say otherwise: as much as a handful of well-hinted jobs would. */
+    /** Hints are believed as much as so many well-hinted jobs would say. */
     private static final double HINT_PRIOR = 4;
     /** Being late is taken to lose at least this part of the value, where settings say it loses none. */
     private static final double LEAST_LOSS = 0.1;
-    private static final double STANDARD_SPEED = 1;
-    private static final double NO_HINT_YET = 1;
+    private static final double STANDARD = 1;
 
     private final Settings settings;
     private final Dispatcher dispatcher;
@@ -122,11 +113,13 @@
     private final Samples roughWaits = new Samples(KEPT_ARRIVALS);
     private double copiesLeft;
     /** Worked out once for each choice: the means are asked for at every worker. */
-    private double meanWork = NO_HINT_YET;
+    private double meanWork = STANDARD;
     private double meanValue = 1;
     private double meanWorth = 1;
     private int launchesOut;
-    private int lockedOut;
+    /** Workers with launches of ours out. */
+    private final List<Worker> holding = new ArrayList<>();
+    private boolean awake;
     private double watchAgainAt = Double.NaN;
     private double askPause = FIRST_ASK;
 
@@ -136,7 +129,6 @@
         for (Settings.Offering offering : settings.offerings()) {
             rows.put(offering.id(), new Row(offering));
         }
-        dispatcher.wake(SWEEP);
         if (settings.listMustBeAsked()) {
             dispatcher.watchList();
         }
@@ -150,18 +142,25 @@
     }
 
     public void woken() {
-        dispatcher.wake(SWEEP);
+        awake = false;
         if (now >= watchAgainAt) {
             watchAgainAt = Double.NaN;
             dispatcher.watchList();
         }
         models.values().forEach(model -> model.stillWaiting = 0);
-        for (Worker w : workers.values()) {
-            if (!w.out.isEmpty()) {
-                w.noteRunning();
-                lookForSilence(w);
-                w.noteWaiting();
-            }
+        for (Worker w : new ArrayList<>(holding)) {
+            w.noteRunning();
+            lookForSilence(w);
+            w.noteWaiting();
+        }
+        stayAwake();
+    }
+
+    /** Guards against a fleet of near idle dispatchers that spends its time on looking at nothing. */
+    private void stayAwake() {
+        if (!awake && (!holding.isEmpty() || !Double.isNaN(watchAgainAt))) {
+            awake = true;
+            dispatcher.wake(SWEEP);
         }
     }
 
@@ -170,6 +169,7 @@
         if (settings.listMustBeAsked()) {
             watchAgainAt = now + askPause * (1 + chance());
             askPause = Math.min(LONGEST_ASK, 2 * askPause);
+            stayAwake();
         }
     }
 
@@ -198,20 +198,12 @@
                 fleet.add(w);
             }
         }
-        lost.sort(Comparator.comparingLong(w -> w.id.value()));
         for (Worker w : lost) {
             rescueAll(w, true);
         }
         workers.values().removeIf(w -> !w.ready && w.out.isEmpty());
     }
 
-    public void probed(Ids.Worker id, boolean answered, double ago, LoadReport report) {
-        Worker w = workers.get(id);
-        if (w != null && answered) {
-            w.reported(report);
-        }
-    }
-
     // ---- submissions
 
     /** Takes a submission; null when the settings have no such offering. */
@@ -307,7 +299,9 @@
             out--;
             launchesOut--;
             launch.worker.out.remove(launch);
-            launch.worker.workOut = launch.worker.out.isEmpty() ? 0 : launch.worker.workOut - work * slots;
+            if (launch.worker.out.isEmpty()) {
+                holding.remove(launch.worker);
+            }
             launch.worker.reported(report);
             launch.worker.learn(launch, outcome);
             if (over || outcome == Outcome.ANSWERED) {
@@ -333,12 +327,7 @@
         }
 
         private boolean mayHaveRun() {
-            for (Launch launch : launches) {
-                if (launch.mayHaveRun()) {
-                    return true;
-                }
-            }
-            return false;
+            return launches.stream().anyMatch(Launch::mayHaveRun);
         }
 
         /** Rule 2, and the limits on copies and launches: whether one more launch anywhere can be right. */
@@ -399,20 +388,13 @@
         /** Guards against a tenant far past its share crowding out others: it bears less, they bear all. */
         private double fairness() {
             double use = uses.containsKey(submission.tenant()) ? use(submission.tenant()) : 0;
-            double least = use;
-            for (Ids.Tenant other : uses.keySet()) {
-                least = Math.min(least, use(other));
-            }
+            double least = uses.keySet().stream().mapToDouble(Policy.this::use).min().orElse(use);
             return use > 1 ? Math.max(Math.sqrt(settings.overShareValue()), least / use) : 1;
         }
 
         /** The wait, a unit of value, that the least patient offering bears; none may fill queues past it. */
         private double patience() {
-            double least = Double.POSITIVE_INFINITY;
-            for (Row other : rows.values()) {
-                least = Math.min(least, other.patience());
-            }
-            return least;
+            return rows.values().stream().mapToDouble(Row::patience).min().orElse(0);
         }
 
         private void launchAt(Worker w) {
@@ -423,7 +405,10 @@
             out++;
             launchesOut++;
             w.out.add(launch);
-            w.workOut += work * slots;
+            if (w.out.size() == 1) {
+                holding.add(w);
+                stayAwake();
+            }
             w.sentCold(work * slots);
             dispatcher.launch(submission.id(), w.id, 0);
         }
@@ -461,19 +446,17 @@
 
     /** The worker of least admittance cost, ties by chance, or null; a second choice must meet its test. */
     private Worker cheapest(Handle h, Predicate<Worker> second) {
-        meanWork = arrivals.meanOfFirst(NO_HINT_YET);
+        meanWork = arrivals.meanOfFirst(STANDARD);
         meanValue = arrivals.meanOfSecond();
         meanWorth = arrivals.meanOfProduct();
         // Guards against a hundred near idle dispatchers that forget a model's waits between two launches.
         double stretch = Math.max(1, Math.min(MOST_STRETCH,
-                ENOUGH_LAUNCHES / (WAIT_MEMORY * arrivals.rate(now))));
+                ENOUGH_LAUNCHES / (MEMORY * arrivals.rate(now))));
         models.values().forEach(model -> model.figure(now, stretch));
         double capacity = 0;
         double slotsInAll = 0;
-        lockedOut = 0;
         for (Worker w : fleet) {
             w.figure(h.slots);
-            lockedOut += w.probation && w.silent ? 1 : 0;
             capacity += w.speed() * w.slots();
             slotsInAll += w.slots();
         }
@@ -569,7 +552,6 @@
         boolean ready;
         boolean named;
         final List<Launch> out = new ArrayList<>();
-        double workOut;
         final Samples runs = new Samples(KEPT);
         final Samples waits = new Samples(KEPT);
         final Samples failures = new Samples(KEPT);
@@ -663,11 +645,13 @@
                     }
                     if (launch.startedAt > 0 || launch.ownWait == 0) {
                         double run = Math.max(now - from, settings.round());
-                        runs.add(now, launch.handle.work, run);
+                        // As it would be warm: speed() scales by warmth, and coldness must not count twice.
+                        runs.add(now, launch.handle.work, run * warmth(from));
                         speedAt = Double.NEGATIVE_INFINITY;
                         if (warmth(from) >= 1) {
                             // Guards against a release that makes its whole model look slow.
-                            model.ran(now, launch.handle.work, run);
+                            model.runs.add(now, launch.handle.work, run);
+                            model.speed = model.runs.sumOfFirst() / model.runs.sumOfSecond();
                             launch.handle.row.learn(launch.handle.submission.hint(), run * speed());
                         }
                     }
@@ -709,10 +693,7 @@
 
         /** Probation: one launch at a time, after a pause, and only of what may be tried again. */
         boolean takesTrial(Handle h) {
-            if (!probation || silent && lockedOut > MOST_LOCKED_OUT * fleet.size()) {
-                return true;
-            }
-            return now >= trialAt && out.isEmpty() && h.row.of.effect() != Effect.UNREPEATABLE;
+            return !probation || now >= trialAt && out.isEmpty() && h.row.of.effect() != Effect.UNREPEATABLE;
         }
 
         int slots() {
@@ -726,7 +707,7 @@
                 double done = prior * model.speed;
                 double took = prior;
                 for (int i = 0; i < runs.size(); i++) {
-                    double weight = fade(now - runs.time(i), SPEED_MEMORY);
+                    double weight = fade(now - runs.time(i), MEMORY);
                     done += weight * runs.first(i);
                     took += weight * runs.second(i);
                 }
@@ -772,7 +753,7 @@
 
         /** Works out the waits and the backlog once, for the costs and the launch that follow. */
         void figure(double need) {
-            double unseen = unseen(WAIT_MEMORY, model.unseenNow);
+            double unseen = unseen(MEMORY, model.unseenNow);
             ownWaitNow = ownWait(need);
             waitNow = ownWaitNow + unseen;
             double sum = 0;
@@ -789,13 +770,10 @@
                 slotFreeAt = new double[n];
             }
             Arrays.fill(slotFreeAt, 0);
-            double rest = workOut;
-            for (int i = 0; i < Math.min(out.size(), FOLLOWED); i++) {
-                Launch launch = out.get(i);
-                occupy(launch.handle.slots, launch.remaining(now, speed()));
-                rest -= launch.handle.work * launch.handle.slots;
+            for (int i = 0; i < out.size(); i++) {
+                occupy(out.get(i).handle.slots, out.get(i).remaining(now, speed()));
             }
-            return slotFreeAt[startingSlot(need)] + (out.size() > FOLLOWED ? rest / speed() / n : 0);
+            return slotFreeAt[startingSlot(need)];
         }
 
         /** The slot whose freeing lets a job start; after this the slots it takes with it come before it. */
@@ -923,7 +901,7 @@
         /** The hint, drawn to its offering's middle as far as hints lately misled; their mean if none. */
         double workOf(double hint) {
             if (Double.isNaN(hint)) {
-                return hints.meanOfFirst(NO_HINT_YET);
+                return hints.meanOfFirst(STANDARD);
             }
             hints.add(0, hint, 0);
             return hint > 0 && slope < 1 ? scale * Math.exp(slope * (Math.log(hint) - middle)) : hint;
@@ -960,12 +938,12 @@
 
         /** Guards against patient offerings filling an overload's queues, where the others then starve. */
         double patience() {
-            double work = hints.meanOfFirst(NO_HINT_YET);
+            double work = hints.meanOfFirst(STANDARD);
             return borne(work, work) / Math.sqrt(value);
         }
 
         double borne(double work, double run) {
-            return Math.max(HOPELESS * quotedFor(work) - run, WORTH_WAITING * quotedFor(work));
+            return Math.max(quotedFor(work) - run, WORTH_WAITING * quotedFor(work));
         }
 
         boolean sameGroup(Listing a, Listing b) {
@@ -982,7 +960,7 @@
         final Samples runs = new Samples(KEPT_ARRIVALS);
         int slots;
 
-        double speed = STANDARD_SPEED;
+        double speed = STANDARD;
 
         /** How long launches lately waited to start, and how much of it ours do not explain. */
         final Samples waits;
@@ -1001,13 +979,8 @@
 
         /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
         void figure(double now, double stretch) {
-            unseenNow = waits.faded(2, now, stretch * WAIT_MEMORY, prior, stillWaiting);
+            unseenNow = waits.faded(2, now, stretch * MEMORY, prior, stillWaiting);
             freshNow = waits.faded(2, now, stretch * FRESH, prior, stillWaiting);
         }
-
-        void ran(double now, double work, double run) {
-            runs.add(now, work, run);
-            speed = runs.sumOfFirst() / runs.sumOfSecond();
-        }
     }
 }
--- a/src/test/java/wheelroute/ChoiceTest.java
+++ b/src/test/java/wheelroute/ChoiceTest.java
@@ -281,4 +281,39 @@
         w.change(2, Double.NaN, Readiness.ACTIVE).fill(1);
         assertTrue(w.did.stream().anyMatch(s -> s.endsWith(" 2")), w.did.toString());
     }
+
+    /** Guards against coldness counted twice: cold runs must not make a worker look slow once it is warm. */
+    @Test
+    public void coldRunsDoNotSlowAWarmWorker() {
+        World w = new World(new World.Given()).change(1, World.START, Readiness.ACTIVE);
+        w.pass(10);
+        for (int i = 0; i < 8; i++) {
+            // Sixteen twentieths of the ramp of 20 s are still to come or just passed: runs take 1 / warmth.
+            double warmth = 0.25 + 0.75 * (w.now - World.START) / 20;
+            w.serve(0.2, 0.2 / warmth);
+        }
+        w.pass(7).fill(0.5);
+        assertTrue(w.count("launch") >= 3, "its speed is that of a warm worker: " + w.did);
+    }
+
+    /** Guards against seeing only the lucky: launches that still wait tell of their model's queues. */
+    @Test
+    public void launchesStillWaitingCount() {
+        World.Given given = new World.Given();
+        given.dispatchers = 9;
+        World w = new World(given).list(4);
+        for (int i = 0; i < 3; i++) {
+            w.take(0.1);
+        }
+        for (int i = 0; i < 4; i++) {
+            w.pass(0.1).policy.woken();
+        }
+        long early = w.count("bounce");
+        for (int i = 0; i < 6; i++) {
+            w.pass(0.4).policy.woken();
+            w.take(0.01);
+        }
+        assertEquals(early, 0);
+        assertTrue(w.count("bounce") > 0, w.did.toString());
+    }
 }
