--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -25,8 +25,8 @@
  * section 4.1; docs/design.md tells what was kept of it, what was changed, and when each exception acts.
  */
 public final class Policy {
-    /** Costs this close to the cheapest are a tie: a wider band gives away more than rough hints cost. */
-    private static final double TIE_BAND = 0.05;
+    /** Costs this close to the cheapest are a tie: hints are too rough to tell them apart. */
+    private static final double TIE_BAND = 0.10;
     /** Offered load is held below this: the cost's factor has a pole at 1. */
     private static final double MOST_LOAD = 0.95;
     /** Speeds and waits are smoothed over this long: shorter follows single jobs, longer misses a change. */
