--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -89,8 +89,7 @@
     private static final double CERTAIN = 8;
     /** No worker is taken to run more jobs at once, whatever a report says: arithmetic must stay bounded. */
     private static final int MOST_SLOTS = 64;
-    /** Hints are believed as much as so many well-hinted jobs would say. */
-    private static final double HINT_PRIOR = 4;
+    private static final double HINT_PRIOR = 4; // in well-hinted jobs
     /** Being late is taken to lose at least this part of the value, where settings say it loses none. */
     private static final double LEAST_LOSS = 0.1;
     private static final double STANDARD = 1;
@@ -900,11 +899,12 @@
 
         /** The hint, drawn to its offering's middle as far as hints lately misled; their mean if none. */
         double workOf(double hint) {
-            if (Double.isNaN(hint)) {
+            if (!(hint > 0)) {
+                // Also against a hint of nothing, by which a crossing's price would have no end.
                 return hints.meanOfFirst(STANDARD);
             }
             hints.add(0, hint, 0);
-            return hint > 0 && slope < 1 ? scale * Math.exp(slope * (Math.log(hint) - middle)) : hint;
+            return slope < 1 ? scale * Math.exp(slope * (Math.log(hint) - middle)) : hint;
         }
 
         /** Guards against rough hints taken at their word: work's slope on hint tells how far to trust. */
--- a/src/test/java/wheelroute/ChoiceTest.java
+++ b/src/test/java/wheelroute/ChoiceTest.java
@@ -316,4 +316,12 @@
         assertEquals(early, 0);
         assertTrue(w.count("bounce") > 0, w.did.toString());
     }
+
+    /** Guards against a crossing without end to its price: a hint of nothing is no hint. */
+    @Test
+    public void aHintOfNothingMayCross() {
+        World w = new World(new World.Given()).change(4, Double.NaN, Readiness.ACTIVE);
+        w.take(0);
+        assertEquals(w.lastWorker(), 4);
+    }
 }
