--- a/src/main/java/wheelroute/Main.java
+++ b/src/main/java/wheelroute/Main.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import wheelroute.adapter.Adapter;
 import wheelroute.adapter.WireException;
+import wheelroute.config.ConfigReader;
+import wheelroute.net.Service;
 
 /** The command line: one subcommand a way of running the decisions. */
 public final class Main {
@@ -16,17 +18,52 @@
     }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: wheelroute adapter    read the wire on standard input, act on output");
-            System.exit(BAD_USAGE);
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "adapter" -> adapter();
+            case "serve" -> serve();
+            default -> {
+                System.err.println("usage: wheelroute adapter    read the wire on standard input, act on output\n"
+                        + "       wheelroute serve      dispatch on sockets, by LB_* and the file LB_CONFIG");
+                System.exit(BAD_USAGE);
+            }
         }
+    }
+
+    private static void adapter() {
         // Unwrapped descriptors: System.out would add a lock and a second buffer to every reply.
         try (FileInputStream in = new FileInputStream(FileDescriptor.in);
                 FileOutputStream out = new FileOutputStream(FileDescriptor.out)) {
             new Adapter(in, out).run();
         } catch (WireException | IOException e) {
-            System.err.println("wheelroute: " + e.getMessage());
-            System.exit(BAD_INPUT);
+            fail(e);
+        }
+    }
+
+    private static void serve() {
+        // Before the first logger: the usual manager drops its handlers as soon as the process is told to end.
+        System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
+        try {
+            Service service = new Service(ConfigReader.read(System.getenv()));
+            service.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(service), "end"));
+        } catch (Exception e) {
+            fail(e);
         }
     }
+
+    /** A signal's own exit code would read as a crash. */
+    private static void end(Service service) {
+        try {
+            service.drain();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void fail(Exception e) {
+        System.err.println("wheelroute: " + e.getMessage());
+        System.exit(BAD_INPUT);
+    }
 }
--- a/src/main/java/wheelroute/adapter/Adapter.java
+++ b/src/main/java/wheelroute/adapter/Adapter.java
@@ -7,6 +7,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import wheelroute.config.ConfigException;
+import wheelroute.config.SettingsReader;
 import wheelroute.decision.Ids;
 import wheelroute.decision.Listing;
 import wheelroute.decision.LoadReport;
@@ -95,7 +97,21 @@
             throw line.error("no AT line names its instance");
         }
         long seed = line.whole("init_seed");
-        Settings settings = SettingsReader.read(seed, line);
+        Map<String, String> pairs = new HashMap<>();
+        while (line.hasMore()) {
+            String pair = line.text("conf");
+            int eq = pair.indexOf('=');
+            if (eq < 1) {
+                throw line.error("'" + pair + "' is not path=value");
+            }
+            pairs.put(pair.substring(0, eq), pair.substring(eq + 1));
+        }
+        Settings settings;
+        try {
+            settings = SettingsReader.read(seed, pairs);
+        } catch (ConfigException e) {
+            throw line.error(e.getMessage());
+        }
         current.handles.clear();
         current.policy = new Policy(settings, reply.forInstance(current.number));
         current.policy.at(now);
--- /dev/null
+++ b/src/main/java/wheelroute/config/ConfigReader.java
@@ -0,0 +1,156 @@
+package wheelroute.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import wheelroute.decision.Settings;
+
+/** Reads the environment and the file that it names. The environment's own values go before the file's. */
+public final class ConfigReader {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int HEX = 16;
+    private static final int MOST_PORT = 65_535;
+    /** Far below it nothing could be served: the runtime itself holds some thirty descriptors. */
+    private static final int LEAST_SOCKETS = 64;
+    private static final double USUAL_SOCKETS = 1024;
+    private static final double USUAL_CONNECT = 0.25;
+    private static final double USUAL_IDLE = 30;
+    private static final double USUAL_OUTER_LIMIT = 30;
+
+    private final Map<String, String> environment;
+    private final Map<String, String> file = new HashMap<>();
+    private byte[] known;
+
+    private ConfigReader(Map<String, String> environment) {
+        this.environment = environment;
+    }
+
+    public static Config read(Map<String, String> environment) throws ConfigException {
+        ConfigReader reader = new ConfigReader(environment);
+        reader.readFile();
+        return reader.config();
+    }
+
+    private void readFile() throws ConfigException {
+        String path = environment.get("LB_CONFIG");
+        if (path == null || path.isEmpty()) {
+            throw new ConfigException("LB_CONFIG", "is missing: it names the configuration file");
+        }
+        try (JsonParser parser = JSON.createParser(Files.readAllBytes(Path.of(path)))) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new ConfigException("LB_CONFIG", "names a file that is not a JSON object");
+            }
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                parser.nextToken();
+                if (name.equals("known")) {
+                    known = copied(parser);
+                } else {
+                    JsonPairs.flatten(parser, name, file);
+                }
+            }
+        } catch (IOException | InvalidPathException e) {
+            throw new ConfigException("LB_CONFIG", "names a file that cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** Kept as it is: the list's own codec reads it, once. */
+    private static byte[] copied(JsonParser parser) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator generator = JSON.createGenerator(out)) {
+            generator.copyCurrentStructure(parser);
+        }
+        return out.toByteArray();
+    }
+
+    private Config config() throws ConfigException {
+        Map<String, String> pairs = new HashMap<>();
+        file.forEach((key, value) -> {
+            if (key.startsWith("settings.")) {
+                pairs.put(key.substring("settings.".length()), value);
+            }
+        });
+        // On sockets the list comes only to who asks, however the bench's wire would bring it.
+        pairs.put("membership_mode", "ask");
+        SettingsReader reader = new SettingsReader(pairs);
+        Settings settings = reader.settings(seed());
+        if (settings.offerings().isEmpty()) {
+            throw new ConfigException("settings.request_classes", "names no offering");
+        }
+        double longest = 0;
+        for (int i = 0; i < settings.offerings().size(); i++) {
+            String key = "request_classes." + i + ".hard_limit_us";
+            longest = Math.max(longest, positive(key, reader.seconds(key, USUAL_OUTER_LIMIT)));
+        }
+        double sockets = new SettingsReader(file).number("limits.sockets", USUAL_SOCKETS);
+        if (!(sockets >= LEAST_SOCKETS)) {
+            throw new ConfigException("limits.sockets", "is under " + LEAST_SOCKETS);
+        }
+        String connect = "permissions.connect_timeout_us";
+        String idle = "permissions.conn_idle_us";
+        return new Config(value("LB_NAME", "name"), address("LB_LISTEN", "listen"),
+                address("LB_DISCOVERY", "discovery"), (int) sockets, known, settings,
+                positive(connect, reader.seconds(connect, USUAL_CONNECT)),
+                positive(idle, reader.seconds(idle, USUAL_IDLE)), longest);
+    }
+
+    private static double positive(String key, double value) throws ConfigException {
+        if (!(value > 0)) {
+            throw new ConfigException("settings." + key, "is not above 0");
+        }
+        return value;
+    }
+
+    private long seed() throws ConfigException {
+        String seed = file.getOrDefault("seed", "0");
+        try {
+            return Long.parseUnsignedLong(seed, HEX);
+        } catch (NumberFormatException e) {
+            throw new ConfigException("seed", "is not up to 16 hex digits: " + seed);
+        }
+    }
+
+    private String value(String variable, String key) throws ConfigException {
+        String value = environment.getOrDefault(variable, file.get(key));
+        if (value == null || value.isEmpty()) {
+            throw new ConfigException(key, "is missing (or " + variable + ")");
+        }
+        return value;
+    }
+
+    private InetSocketAddress address(String variable, String key) throws ConfigException {
+        String value = value(variable, key);
+        InetSocketAddress address = parse(value);
+        if (address == null) {
+            throw new ConfigException(key, "is not host:port: " + value);
+        }
+        return address;
+    }
+
+    /** Null for what is no address of the form host:port; the host is taken as it is, there is no DNS. */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            return null;
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (port < 0 || port > MOST_PORT) {
+                return null;
+            }
+            InetSocketAddress address = new InetSocketAddress(text.substring(0, colon), port);
+            return address.isUnresolved() ? null : address;
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+}
--- a/src/main/java/wheelroute/adapter/SettingsReader.java
+++ b/src/main/java/wheelroute/config/SettingsReader.java
@@ -1,7 +1,6 @@
-package wheelroute.adapter;
+package wheelroute.config;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,32 +9,22 @@
 import wheelroute.decision.Ids;
 import wheelroute.decision.Settings;
 
-/** The path=value pairs of CONFIGURE, in our words. Keys it does not know are skipped. */
-final class SettingsReader {
+/** The settings' path=value pairs, in our words, for the adapter and the service alike. Other keys are skipped. */
+public final class SettingsReader {
     private static final double MICROS = 1e6;
     private static final String CLASSES = "request_classes.";
 
-    private final Map<String, String> pairs = new HashMap<>();
-    private final LineReader line;
+    private final Map<String, String> pairs;
 
-    private SettingsReader(LineReader line) {
-        this.line = line;
+    SettingsReader(Map<String, String> pairs) {
+        this.pairs = pairs;
     }
 
-    static Settings read(long seed, LineReader line) throws WireException {
-        SettingsReader reader = new SettingsReader(line);
-        while (line.hasMore()) {
-            String pair = line.text("conf");
-            int eq = pair.indexOf('=');
-            if (eq < 1) {
-                throw line.error("'" + pair + "' is not path=value");
-            }
-            reader.pairs.put(pair.substring(0, eq), pair.substring(eq + 1));
-        }
-        return reader.settings(seed);
+    public static Settings read(long seed, Map<String, String> pairs) throws ConfigException {
+        return new SettingsReader(pairs).settings(seed);
     }
 
-    private Settings settings(long seed) throws WireException {
+    Settings settings(long seed) throws ConfigException {
         return new Settings(seed, new Ids.Zone(text("az", "")), (int) number("balancers", 1),
                 seconds("round_us", 0), offerings(), quotas(), number("over_share_worth", 1),
                 text("membership_mode", "push").equals("ask"), flag("family_info.tells_start"),
@@ -48,7 +37,7 @@
                 number("prices.cross_zone", 0));
     }
 
-    private List<Settings.Offering> offerings() throws WireException {
+    private List<Settings.Offering> offerings() throws ConfigException {
         List<Settings.Offering> rows = new ArrayList<>();
         int count = (int) number(CLASSES + "count", 0);
         String[] stretches = text("family_info.class_stretch", "").split(",");
@@ -75,7 +64,7 @@
         return model;
     }
 
-    private double stretch(String row, String[] stretches, int i) throws WireException {
+    private double stretch(String row, String[] stretches, int i) throws ConfigException {
         if (pairs.containsKey(row + "aim_stretch") || i >= stretches.length || stretches[i].isEmpty()) {
             return number(row + "aim_stretch", 0);
         }
@@ -99,7 +88,7 @@
         };
     }
 
-    private Map<Ids.Tenant, Double> quotas() throws WireException {
+    private Map<Ids.Tenant, Double> quotas() throws ConfigException {
         Map<Ids.Tenant, Double> quotas = new LinkedHashMap<>();
         int count = (int) number("tenants.count", 0);
         for (int i = 0; i < count; i++) {
@@ -118,20 +107,20 @@
         return s.equals("true") || s.equals("1");
     }
 
-    private double seconds(String key, double absent) throws WireException {
+    double seconds(String key, double absent) throws ConfigException {
         return number(key, absent * MICROS) / MICROS;
     }
 
-    private double number(String key, double absent) throws WireException {
+    double number(String key, double absent) throws ConfigException {
         String s = pairs.get(key);
         return s == null || s.equals("-") ? absent : parse(key, s);
     }
 
-    private double parse(String key, String s) throws WireException {
+    private double parse(String key, String s) throws ConfigException {
         try {
             return Double.parseDouble(s);
         } catch (NumberFormatException e) {
-            throw line.error("setting '" + key + "' is not a number: " + s);
+            throw new ConfigException(key, "is not a number: " + s);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/wheelroute/net/AnswerParser.java
@@ -0,0 +1,129 @@
+package wheelroute.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpVersion;
+
+/** The answers on a connection of ours, in whatever pieces they come: status, fields, then the body's pieces. */
+public final class AnswerParser implements HttpParser.ResponseHandler {
+    /** What is told of an answer. Any of them may refuse it. */
+    public interface Reader {
+        void head(int status, Map<String, String> fields) throws IOException;
+
+        void piece(ByteBuffer bytes) throws IOException;
+
+        /** The whole answer has come; the connection may be used again, or not. */
+        void end(boolean keepsOpen) throws IOException;
+    }
+
+    private static final int MOST_HEAD = 8 * 1024;
+    private static final int FIRST_FINAL_STATUS = 200;
+
+    private final HttpParser parser = new HttpParser(this, MOST_HEAD);
+    private final Reader reader;
+    private final Map<String, String> fields = new HashMap<>();
+    private int status;
+    private boolean keepsOpen;
+    private boolean complete;
+    private IOException fault;
+
+    public AnswerParser(Reader reader) {
+        this.reader = reader;
+    }
+
+    /** Uses up the bytes; throws when they are not an answer, or the reader refuses it. */
+    public void parse(ByteBuffer in) throws IOException {
+        while (in.hasRemaining()) {
+            parser.parseNext(in);
+            if (fault != null) {
+                throw fault;
+            }
+            if (complete) {
+                complete = false;
+                parser.reset();
+                if (status >= FIRST_FINAL_STATUS) {
+                    reader.end(keepsOpen && !in.hasRemaining());
+                }
+            }
+        }
+    }
+
+    /** The other side has ended: this is a whole answer only if it had no other way to end. */
+    public void atEnd() throws IOException {
+        parser.atEOF();
+        parser.parseNext(ByteBuffer.allocate(0));
+        if (fault != null) {
+            throw fault;
+        }
+        if (complete) {
+            complete = false;
+            reader.end(false);
+        }
+    }
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    private boolean refused(Step step) {
+        try {
+            step.run();
+        } catch (IOException e) {
+            fault = e;
+        }
+        return fault != null;
+    }
+
+    @Override
+    public void startResponse(HttpVersion version, int newStatus, String reason) {
+        status = newStatus;
+        keepsOpen = version == HttpVersion.HTTP_1_1;
+        fields.clear();
+    }
+
+    @Override
+    public void parsedHeader(HttpField field) {
+        String name = field.getName().toLowerCase(Locale.ROOT);
+        fields.put(name, field.getValue());
+        if (name.equals("connection") && field.contains("close")) {
+            keepsOpen = false;
+        }
+    }
+
+    @Override
+    public boolean headerComplete() {
+        return status >= FIRST_FINAL_STATUS && refused(() -> reader.head(status, fields));
+    }
+
+    @Override
+    public boolean content(ByteBuffer piece) {
+        return refused(() -> reader.piece(piece));
+    }
+
+    @Override
+    public boolean contentComplete() {
+        return false;
+    }
+
+    @Override
+    public boolean messageComplete() {
+        complete = true;
+        return true;
+    }
+
+    @Override
+    public void earlyEOF() {
+        fault = new IOException("the answer ends early");
+    }
+
+    @Override
+    public void badMessage(HttpException cause) {
+        fault = new IOException("no HTTP answer: " + cause.getReason());
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/Exchange.java
@@ -0,0 +1,152 @@
+package wheelroute.net;
+
+import java.util.ArrayList;
+import java.util.List;
+import wheelroute.decision.Ids;
+import wheelroute.decision.LoadReport;
+import wheelroute.decision.Policy;
+import wheelroute.decision.Submission;
+import wheelroute.net.clients.ClientAnswer;
+import wheelroute.net.clients.ClientMessage;
+import wheelroute.net.clients.Submitters;
+import wheelroute.net.workers.Flight;
+import wheelroute.net.workers.LaunchMessage;
+import wheelroute.net.workers.Launches;
+
+/** One submission: its handle, its launches and its single final answer. Client and worker side meet here. */
+final class Exchange implements Submitters.Taken {
+    private final Exchanges exchanges;
+    private final Submission submission;
+    private final LaunchMessage message;
+    private final Submitters.Answers client;
+    private final List<Launch> launches = new ArrayList<>(2);
+    private final Loop.Timer limit;
+    private Policy.Handle handle;
+    private boolean answered;
+
+    Exchange(Exchanges exchanges, Loop loop, Submission submission, ClientMessage message,
+            Submitters.Answers client) {
+        this.exchanges = exchanges;
+        this.submission = submission;
+        this.client = client;
+        this.message = new LaunchMessage(message.method(), message.target(), message.id(), message.mark(),
+                message.routeKey(), message.body());
+        limit = loop.later(submission.outerLimit() - loop.now(), this::outOfTime);
+    }
+
+    Submission submission() {
+        return submission;
+    }
+
+    boolean isAnswered() {
+        return answered;
+    }
+
+    /** Decides where it goes; false when it is not to be taken. */
+    boolean begin(Policy policy) {
+        handle = policy.take(submission);
+        if (handle == null) {
+            limit.cancel();
+        }
+        return handle != null;
+    }
+
+    /** One launch, from its number to its end. */
+    private final class Launch implements Launches {
+        private final int number;
+        private Flight flight;
+
+        Launch(int number) {
+            this.number = number;
+        }
+
+        @Override
+        public void started() {
+            exchanges.turn(() -> handle.started(number));
+        }
+
+        @Override
+        public void progressed(double share) {
+            exchanges.turn(() -> handle.progressed(number, share));
+        }
+
+        @Override
+        public void ended(End end, byte[] result, double freeSlots) {
+            exchanges.counters().count(end);
+            exchanges.turn(() -> {
+                if (end == End.DONE && !answered) {
+                    answer(Counters.Kind.FULFILLED, ClientAnswer.fulfilled(result));
+                }
+                handle.ended(number, end.outcome(), answered, new LoadReport(freeSlots));
+                closeIfOver();
+            });
+        }
+    }
+
+    void launch(Ids.Worker worker) {
+        Launch launch = new Launch(launches.size());
+        launches.add(launch);
+        exchanges.counters().count(Counters.Kind.LAUNCHED);
+        launch.flight = exchanges.workers().send(worker, message, submission.outerLimit(), launch);
+    }
+
+    void cancel(int number) {
+        launches.get(number).flight.giveUp(End.CALLED_OFF);
+    }
+
+    void answer(Counters.Kind kind, ClientAnswer answer) {
+        if (!answered) {
+            over();
+            exchanges.counters().count(kind);
+            client.answer(answer);
+        }
+    }
+
+    /** After the end nothing more may go out: what is not written yet is ended now. */
+    private void over() {
+        answered = true;
+        for (Launch launch : launches) {
+            if (launch.flight != null && !launch.flight.isWritten()) {
+                launch.flight.giveUp(End.CALLED_OFF);
+            }
+        }
+    }
+
+    @Override
+    public void clientGone() {
+        exchanges.turn(() -> {
+            if (!answered) {
+                over();
+                exchanges.counters().count(Counters.Kind.CLIENT_GONE);
+                handle.gone();
+                closeIfOver();
+            }
+        });
+    }
+
+    /** Ends what is still out; the decisions then say what the client is told. */
+    void outOfTime() {
+        for (Launch launch : new ArrayList<>(launches)) {
+            launch.flight.giveUp(End.TIMED_OUT);
+        }
+        exchanges.turn(() -> {
+            if (!answered) {
+                // Only a fault in the decisions leaves it open here; nothing is promised about the effect.
+                answer(Counters.Kind.SCRAPPED, ClientAnswer.scrapped());
+            }
+            exchanges.remove(submission.id());
+        });
+    }
+
+    private void closeIfOver() {
+        if (answered && handle.isOver()) {
+            limit.cancel();
+            exchanges.remove(submission.id());
+        }
+    }
+
+    /** Answered within its taking: no event comes later that would close it. */
+    void closeIfAnswered() {
+        closeIfOver();
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -0,0 +1,222 @@
+package wheelroute.net;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wheelroute.decision.Dispatcher;
+import wheelroute.decision.Ids;
+import wheelroute.decision.Listing;
+import wheelroute.decision.Policy;
+import wheelroute.decision.Settings;
+import wheelroute.decision.Submission;
+import wheelroute.net.clients.ClientAnswer;
+import wheelroute.net.clients.ClientMessage;
+import wheelroute.net.clients.Clients;
+import wheelroute.net.clients.Submitters;
+import wheelroute.net.list.ListWatch;
+import wheelroute.net.list.WorkerList;
+import wheelroute.net.workers.Workers;
+
+/** Drives the decisions: every event is one turn, and what a turn brings about waits for the next. */
+final class Exchanges implements Dispatcher, Submitters, ListWatch.Hearer {
+    /**
+     * Kept back of what a client says it will wait: the message was on its way for a part of that, and the
+     * answer must still reach it.
+     */
+    private static final double ANSWER_MARGIN = 0.03;
+    private static final Logger LOG = LoggerFactory.getLogger(Exchanges.class);
+
+    private final Loop loop;
+    private final Counters counters;
+    private final Workers workers;
+    private final Policy policy;
+    private final ArrayDeque<Runnable> turns = new ArrayDeque<>();
+    private final Map<Ids.Submission, Exchange> open = new HashMap<>();
+    private final Map<String, Ids.Worker> names = new HashMap<>();
+    private final Map<String, Ids.Offering> offerings = new HashMap<>();
+    private final Map<String, Ids.Tenant> tenants = new HashMap<>();
+    private ListWatch watch;
+    private boolean deciding;
+    private boolean draining;
+    private long lastSubmission;
+    private long lastWorker;
+    private Clients clients;
+
+    Exchanges(Loop loop, Counters counters, Workers workers, Settings settings) {
+        this.loop = loop;
+        this.counters = counters;
+        this.workers = workers;
+        for (Settings.Offering offering : settings.offerings()) {
+            offerings.put(offering.id().name(), offering.id());
+        }
+        settings.quotas().keySet().forEach(tenant -> tenants.put(tenant.name(), tenant));
+        policy = new Policy(settings, this);
+        policy.at(loop.now());
+    }
+
+    /** Runs an event as soon as no other is being decided on: at once, or after the one that caused it. */
+    void turn(Runnable event) {
+        turns.add(event);
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            for (Runnable next = turns.poll(); next != null; next = turns.poll()) {
+                policy.at(loop.now());
+                run(next);
+            }
+        } finally {
+            deciding = false;
+        }
+    }
+
+    /** Guards against one faulty decision that takes all other submissions with it. */
+    private static void run(Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            LOG.warn("a decision failed", e);
+        }
+    }
+
+    Counters counters() {
+        return counters;
+    }
+
+    Workers workers() {
+        return workers;
+    }
+
+    void remove(Ids.Submission id) {
+        open.remove(id);
+    }
+
+    int open() {
+        return open.size();
+    }
+
+    // ---- from the clients
+
+    @Override
+    public Taken take(ClientMessage message, Answers answers) {
+        Ids.Offering offering = offerings.get(message.offering());
+        if (offering == null) {
+            return null;
+        }
+        // Tenants without a share need no name of their own: a client must not fill memory with names.
+        Ids.Tenant tenant = tenants.getOrDefault(message.tenant(), new Ids.Tenant(""));
+        Submission submission = new Submission(new Ids.Submission(++lastSubmission), offering, tenant,
+                loop.now() + message.timeout() - ANSWER_MARGIN, message.hint(), message.slots(),
+                message.memory(), message.repeated());
+        Exchange exchange = new Exchange(this, loop, submission, message, answers);
+        open.put(submission.id(), exchange);
+        counters.count(Counters.Kind.TAKEN);
+        turn(() -> {
+            exchange.begin(policy);
+            exchange.closeIfAnswered();
+        });
+        return exchange;
+    }
+
+    @Override
+    public boolean isDraining() {
+        return draining;
+    }
+
+    @Override
+    public String metrics() {
+        return counters.text(open.size(), clients.open(), workers.open());
+    }
+
+    // ---- from discovery
+
+    void watch(ListWatch newWatch) {
+        watch = newWatch;
+    }
+
+    void clients(Clients newClients) {
+        clients = newClients;
+    }
+
+    @Override
+    public void listed(WorkerList list) {
+        listed(list, false);
+    }
+
+    void listed(WorkerList list, boolean remembered) {
+        List<Listing> entries = new ArrayList<>();
+        Map<String, Ids.Worker> lost = list.whole() ? new HashMap<>(names) : new HashMap<>();
+        for (WorkerList.Entry entry : list.entries()) {
+            Ids.Worker worker = names.computeIfAbsent(entry.id(), name -> new Ids.Worker(++lastWorker));
+            if (entry.readiness() == Listing.Readiness.GONE) {
+                lost.put(entry.id(), worker);
+            } else {
+                lost.remove(entry.id());
+                workers.listed(worker, entry.address());
+            }
+            entries.add(new Listing(worker, new Ids.Model(entry.kind()), entry.weight(),
+                    new Ids.Zone(entry.zone()), entry.startedAt(), new Ids.Cell(entry.cell()),
+                    entry.readiness()));
+        }
+        turn(() -> policy.listed(entries, list.whole(), remembered));
+        lost.values().forEach(workers::gone);
+    }
+
+    @Override
+    public void listFailed() {
+        turn(policy::listFailed);
+    }
+
+    // ---- from the decisions
+
+    @Override
+    public void launch(Ids.Submission submission, Ids.Worker worker, double limit) {
+        open.get(submission).launch(worker);
+    }
+
+    @Override
+    public void bounce(Ids.Submission submission, double retryAfter) {
+        open.get(submission).answer(Counters.Kind.BOUNCED, ClientAnswer.bounced(retryAfter));
+    }
+
+    @Override
+    public void scrap(Ids.Submission submission) {
+        open.get(submission).answer(Counters.Kind.SCRAPPED, ClientAnswer.scrapped());
+    }
+
+    @Override
+    public void cancel(Ids.Submission submission, int launch) {
+        open.get(submission).cancel(launch);
+    }
+
+    @Override
+    public void wake(double delay) {
+        loop.later(delay, () -> turn(policy::woken));
+    }
+
+    @Override
+    public void watchList() {
+        // The first comes while the policy is being made, before there is a watch.
+        loop.post(() -> watch.watch());
+    }
+
+    // ---- the end
+
+    void drain() {
+        draining = true;
+    }
+
+    long unanswered() {
+        return open.values().stream().filter(exchange -> !exchange.isAnswered()).count();
+    }
+
+    /** No more time: what is out is ended, and the decisions say what each client is told. */
+    void giveUpAll() {
+        new ArrayList<>(open.values()).forEach(Exchange::outOfTime);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/Loop.java
@@ -0,0 +1,252 @@
+package wheelroute.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.component.AbstractLifeCycle;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The one thread on which all is done: sockets, timers and what is posted from outside. Jetty's selector would
+ * hand its work to a pool; here its executor and its scheduler both lead back to the selector's own thread, so
+ * that nothing above needs a lock and the order of events is the order in which they came.
+ */
+public final class Loop {
+    /** The largest read at once: over a body and its headers, so that most messages come in one. */
+    private static final int READ_BUFFER = 80 * 1024;
+    /** Connections waiting to be accepted: a burst of clients must not be refused by the kernel. */
+    private static final int BACKLOG = 512;
+    private static final double MILLIS = 1e3;
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+
+    /** What a channel is for: it makes the connection, or hears that there will be none. */
+    public interface Peer {
+        Connection opened(EndPoint endPoint);
+
+        void failed(Throwable cause);
+    }
+
+    /** A timer; it may be taken back. */
+    public static final class Timer implements Scheduler.Task {
+        private final double due;
+        private final long number;
+        private Runnable task;
+
+        private Timer(double due, long number, Runnable task) {
+            this.due = due;
+            this.number = number;
+            this.task = task;
+        }
+
+        @Override
+        public boolean cancel() {
+            boolean pending = task != null;
+            // It stays in the heap until due, but must not hold a whole submission there.
+            task = null;
+            return pending;
+        }
+    }
+
+    private final Clock clock;
+    private final Manager manager;
+    private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(
+            Comparator.comparingDouble((Timer t) -> t.due).thenComparingLong(t -> t.number));
+    private final ByteBuffer readBuffer = BufferUtil.allocateDirect(READ_BUFFER);
+    private long lastTimer;
+    private Thread thread;
+    private volatile Selector selector;
+
+    public Loop(Clock clock, double connectLimit) {
+        this.clock = clock;
+        manager = new Manager();
+        manager.setConnectTimeout((long) (connectLimit * MILLIS));
+    }
+
+    public void start() throws Exception {
+        manager.start();
+    }
+
+    public void stop() throws Exception {
+        manager.stop();
+    }
+
+    public double now() {
+        return clock.now();
+    }
+
+    /** From any thread. */
+    public void post(Runnable task) {
+        posted.add(task);
+        Selector s = selector;
+        if (s != null && Thread.currentThread() != thread) {
+            s.wakeup();
+        }
+    }
+
+    /** From the loop's thread only, as all that follows. */
+    public Timer later(double delay, Runnable task) {
+        Timer timer = new Timer(now() + delay, ++lastTimer, task);
+        timers.add(timer);
+        return timer;
+    }
+
+    /** Empty, and shared by all connections: what a read leaves in it must be used before the next. */
+    public ByteBuffer readBuffer() {
+        BufferUtil.clear(readBuffer);
+        return readBuffer;
+    }
+
+    /** Never fails at once: whoever connects may be in the middle of a decision. */
+    public void connect(InetSocketAddress address, Peer peer) {
+        SocketChannel channel = null;
+        try {
+            channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            if (channel.connect(address)) {
+                manager.accept(channel, peer);
+            } else {
+                manager.connect(channel, peer);
+            }
+        } catch (IOException | RuntimeException e) {
+            close(channel);
+            post(() -> peer.failed(e));
+        }
+    }
+
+    private static void close(SelectableChannel channel) {
+        try {
+            if (channel != null) {
+                channel.close();
+            }
+        } catch (IOException e) {
+            LOG.debug("closing a channel that never opened", e);
+        }
+    }
+
+    /** Accepts connections for this peer until the returned channel is closed. */
+    public ServerSocketChannel listen(InetSocketAddress address, Peer peer) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
+        // A restart follows within moments of the last end, under the same address.
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        server.bind(address, BACKLOG);
+        server.configureBlocking(false);
+        manager.incoming = peer;
+        manager.acceptor(server);
+        return server;
+    }
+
+    private double runDue() {
+        for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
+            run(task);
+        }
+        double left = Double.POSITIVE_INFINITY;
+        while (!timers.isEmpty()) {
+            Timer first = timers.peek();
+            left = first.task == null ? 0 : first.due - now();
+            if (left > 0) {
+                break;
+            }
+            timers.poll();
+            Runnable task = first.task;
+            first.task = null;
+            if (task != null) {
+                run(task);
+            }
+            left = Double.POSITIVE_INFINITY;
+        }
+        return posted.isEmpty() ? left : 0;
+    }
+
+    /** Guards against one faulty event that ends the thread and with it every submission taken. */
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.warn("an event failed", e);
+        }
+    }
+
+    /** Jetty's timers, for idle connections and connects, kept with ours. */
+    private final class Timers extends AbstractLifeCycle implements Scheduler {
+        @Override
+        public Task schedule(Runnable task, long delay, TimeUnit unit) {
+            return later(unit.toNanos(delay) / (MILLIS * MILLIS * MILLIS), task);
+        }
+    }
+
+    private final class Manager extends SelectorManager {
+        private Peer incoming;
+
+        Manager() {
+            super(Loop.this::execute, new Timers(), 1);
+        }
+
+        @Override
+        protected ManagedSelector newSelector(int id) {
+            return new ManagedSelector(this, id) {
+                @Override
+                protected int nioSelect(Selector s, boolean now) throws IOException {
+                    selector = s;
+                    double left = runDue();
+                    if (now || left <= 0) {
+                        return s.selectNow();
+                    }
+                    return left == Double.POSITIVE_INFINITY ? s.select() : s.select((long) (left * MILLIS) + 1);
+                }
+            };
+        }
+
+        @Override
+        protected void accepted(SelectableChannel channel) throws IOException {
+            channel.configureBlocking(false);
+            ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
+            accept(channel, incoming);
+        }
+
+        @Override
+        protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector s, SelectionKey key) {
+            return new SocketChannelEndPoint((SocketChannel) channel, s, key, getScheduler());
+        }
+
+        @Override
+        public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object peer) {
+            return ((Peer) peer).opened(endPoint);
+        }
+
+        @Override
+        protected void connectionFailed(SelectableChannel channel, Throwable cause, Object peer) {
+            post(() -> ((Peer) peer).failed(cause));
+        }
+    }
+
+    /** The first task is the selector's own life; all later ones are run by it. */
+    private void execute(Runnable task) {
+        if (thread == null) {
+            thread = new Thread(task, "loop");
+            thread.start();
+        } else {
+            post(task);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/clients/BadMessage.java
@@ -0,0 +1,16 @@
+package wheelroute.net.clients;
+
+/** What came is not a message that can be taken; the status says why. */
+public final class BadMessage extends Exception {
+    private static final long serialVersionUID = 1L;
+    private final int status;
+
+    BadMessage(int status, String fault) {
+        super(fault);
+        this.status = status;
+    }
+
+    public int status() {
+        return status;
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -0,0 +1,197 @@
+package wheelroute.net.clients;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import wheelroute.net.Loop;
+
+/** One client's connection: one submission at a time, the next once it is answered. */
+final class ClientConnection extends AbstractConnection implements Submitters.Answers {
+    /** Sent ahead of an answer no more than one largest message may wait here. */
+    private static final int MOST_AHEAD = ClientDecoder.MOST_BODY + ClientDecoder.MOST_HEAD;
+    /** How long a closing connection swallows what still comes: a reset would take the answer with it. */
+    private static final double LINGER = 1;
+
+    private final Loop loop;
+    private final Clients clients;
+    private final ClientDecoder decoder = new ClientDecoder();
+    private Submitters.Taken taken;
+    private boolean waiting;
+    private boolean lastMessage;
+    private boolean begun;
+    private boolean lingering;
+    private ByteBuffer ahead;
+
+    ClientConnection(EndPoint endPoint, Loop loop, Clients clients) {
+        super(endPoint, Runnable::run);
+        this.loop = loop;
+        this.clients = clients;
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        if (clients.opened(this)) {
+            fillInterested();
+        } else {
+            // Nothing is taken; the client may try another dispatcher at once.
+            lastMessage = true;
+            waiting = true;
+            answer(ClientAnswer.bounced(0));
+        }
+    }
+
+    @Override
+    public void onFillable() {
+        try {
+            while (getEndPoint().isOpen()) {
+                ByteBuffer in = loop.readBuffer();
+                int got = getEndPoint().fill(in);
+                if (got < 0) {
+                    ended();
+                    return;
+                }
+                if (got == 0) {
+                    fillInterested();
+                    return;
+                }
+                if (!lingering) {
+                    read(in);
+                }
+            }
+        } catch (Exception e) {
+            // A broken connection is a client that has gone away, however it broke.
+            ended();
+        }
+    }
+
+    @Override
+    public void onFillInterestedFailed(Throwable cause) {
+        ended();
+    }
+
+    private void read(ByteBuffer in) {
+        if (waiting) {
+            int had = ahead == null ? 0 : ahead.remaining();
+            if (had + in.remaining() > MOST_AHEAD) {
+                ended();
+                return;
+            }
+            ByteBuffer more = ByteBuffer.allocate(had + in.remaining());
+            if (had > 0) {
+                more.put(ahead);
+            }
+            ahead = more.put(in).flip();
+            return;
+        }
+        try {
+            begun = true;
+            ClientMessage message = decoder.decode(in);
+            if (message == null) {
+                return;
+            }
+            begun = false;
+            waiting = true;
+            lastMessage = !message.keepsOpen();
+            if (in.hasRemaining()) {
+                read(in);
+            }
+            handle(message);
+        } catch (BadMessage e) {
+            clients.notTaken();
+            lastMessage = true;
+            waiting = true;
+            answer(ClientAnswer.of(e.status(), e.getMessage()));
+        }
+    }
+
+    private void handle(ClientMessage message) {
+        if (message.method().equals("GET")) {
+            answer(switch (message.path()) {
+                case "/healthz" -> clients.health();
+                case "/metrics" -> ClientAnswer.fulfilled(clients.metrics());
+                default -> ClientAnswer.of(HttpStatus.NOT_FOUND_404, "no such page");
+            });
+            return;
+        }
+        if (!message.method().equals("POST")) {
+            clients.notTaken();
+            answer(ClientAnswer.of(HttpStatus.NOT_FOUND_404, "submissions come by POST"));
+        } else if (message.id() == null || message.id().isEmpty() || !(message.timeout() > 0)) {
+            clients.notTaken();
+            answer(ClientAnswer.of(HttpStatus.BAD_REQUEST_400, "X-Request-ID or X-Timeout is missing"));
+        } else {
+            Submitters.Taken now = clients.take(message, this);
+            if (now == null) {
+                clients.notTaken();
+                answer(ClientAnswer.of(HttpStatus.NOT_FOUND_404, "no such offering"));
+            } else if (waiting) {
+                taken = now;
+            }
+        }
+    }
+
+    @Override
+    public void answer(ClientAnswer answer) {
+        taken = null;
+        if (!getEndPoint().isOpen() || !waiting) {
+            return;
+        }
+        boolean last = lastMessage || clients.isDraining();
+        getEndPoint().write(Callback.from(() -> loop.post(() -> answered(last)), cause -> loop.post(this::ended)),
+                answer.encode(last));
+    }
+
+    private void answered(boolean last) {
+        waiting = false;
+        if (last) {
+            linger();
+        } else if (ahead != null) {
+            ByteBuffer next = ahead;
+            ahead = null;
+            read(next);
+        }
+    }
+
+    private void linger() {
+        lingering = true;
+        getEndPoint().shutdownOutput();
+        loop.later(LINGER, this::close);
+        if (!isFillInterested() && getEndPoint().isOpen()) {
+            fillInterested();
+        }
+    }
+
+    /** Between two submissions, with none begun. */
+    boolean isIdle() {
+        return !waiting && !begun && !lingering;
+    }
+
+    private void ended() {
+        Submitters.Taken left = taken;
+        taken = null;
+        waiting = false;
+        close();
+        if (left != null) {
+            left.clientGone();
+        }
+    }
+
+    /** A client may wait for its answer for as long as its outer limit; only idle connections expire. */
+    @Override
+    public boolean onIdleExpired(TimeoutException timeout) {
+        if (!waiting) {
+            close();
+        }
+        return false;
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        clients.closed(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -0,0 +1,151 @@
+package wheelroute.net.clients;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
+
+/** Decodes one client connection's bytes, in whatever pieces they come. */
+public final class ClientDecoder implements HttpParser.RequestHandler {
+    /** The protocol's limit on bodies. */
+    static final int MOST_BODY = 64 * 1024;
+    /** Far more than the protocol's headers need, and bounded: many clients share little memory. */
+    static final int MOST_HEAD = 8 * 1024;
+    private static final double MICROS = 1e6;
+
+    private final HttpParser parser = new HttpParser(this, MOST_HEAD);
+    private final Map<String, String> fields = new HashMap<>();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private String method;
+    private String target;
+    private boolean keepsOpen;
+    private boolean complete;
+    private BadMessage fault;
+
+    /** The next message, or null when more bytes are wanted; what follows it stays in the buffer. */
+    public ClientMessage decode(ByteBuffer in) throws BadMessage {
+        while (!complete && fault == null && in.hasRemaining()) {
+            parser.parseNext(in);
+        }
+        if (fault != null) {
+            throw fault;
+        }
+        if (!complete) {
+            return null;
+        }
+        ClientMessage message = message();
+        complete = false;
+        parser.reset();
+        return message;
+    }
+
+    private ClientMessage message() throws BadMessage {
+        String tenant = fields.get("x-tenant-id");
+        Map<String, String> attrs = attrs();
+        return new ClientMessage(method, target, fields.get("x-request-id"), fields.get("idempotency-key"),
+                fields.get("x-route-key"), tenant == null ? attrs.getOrDefault("tenant", "") : tenant,
+                number("x-timeout", fields.get("x-timeout"), Double.NaN),
+                number("x-cost", fields.get("x-cost"), Double.NaN) / MICROS,
+                number("slots", attrs.get("slots"), 1), number("memory", attrs.get("memory"), 0),
+                "1".equals(fields.get("x-retried")), keepsOpen, body.toByteArray());
+    }
+
+    private Map<String, String> attrs() throws BadMessage {
+        Map<String, String> attrs = new HashMap<>();
+        String text = fields.getOrDefault("x-attrs", "");
+        for (String pair : text.isEmpty() ? new String[0] : text.split(",")) {
+            int eq = pair.indexOf('=');
+            if (eq < 1) {
+                throw new BadMessage(HttpStatus.BAD_REQUEST_400, "X-Attrs is not name=value: " + pair);
+            }
+            attrs.put(pair.substring(0, eq).trim(), pair.substring(eq + 1).trim());
+        }
+        return attrs;
+    }
+
+    private static double number(String name, String text, double absent) throws BadMessage {
+        if (text == null) {
+            return absent;
+        }
+        try {
+            double value = Double.parseDouble(text);
+            if (value >= 0 && value < Double.POSITIVE_INFINITY) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, as a number below 0 is.
+        }
+        throw new BadMessage(HttpStatus.BAD_REQUEST_400, name + " is not a number from 0 on: " + text);
+    }
+
+    @Override
+    public void startRequest(String newMethod, String newTarget, HttpVersion version) {
+        method = newMethod;
+        target = newTarget;
+        keepsOpen = version == HttpVersion.HTTP_1_1;
+        fields.clear();
+        body.reset();
+    }
+
+    @Override
+    public void parsedHeader(HttpField field) {
+        String name = field.getName().toLowerCase(Locale.ROOT);
+        fields.put(name, field.getValue());
+        if (name.equals("connection") && field.contains("close")) {
+            keepsOpen = false;
+        }
+    }
+
+    @Override
+    public boolean headerComplete() {
+        if (parser.getContentLength() > MOST_BODY) {
+            fault = new BadMessage(HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is over " + MOST_BODY);
+            return true;
+        }
+        return false;
+    }
+
+    @Override
+    public boolean content(ByteBuffer piece) {
+        if (body.size() + piece.remaining() > MOST_BODY) {
+            fault = new BadMessage(HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is over " + MOST_BODY);
+            return true;
+        }
+        byte[] bytes = new byte[piece.remaining()];
+        piece.get(bytes);
+        body.write(bytes, 0, bytes.length);
+        return false;
+    }
+
+    @Override
+    public boolean contentComplete() {
+        return false;
+    }
+
+    @Override
+    public boolean messageComplete() {
+        complete = true;
+        return true;
+    }
+
+    @Override
+    public void earlyEOF() {
+        fault = new BadMessage(HttpStatus.BAD_REQUEST_400, "the message ends early");
+    }
+
+    @Override
+    public void badMessage(HttpException cause) {
+        boolean known = cause.getCode() == HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431
+                || cause.getCode() == HttpStatus.PAYLOAD_TOO_LARGE_413;
+        boolean longTarget = cause.getCode() == HttpStatus.URI_TOO_LONG_414;
+        fault = new BadMessage(known ? cause.getCode() : longTarget
+                ? HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431 : HttpStatus.BAD_REQUEST_400,
+                String.valueOf(cause.getReason()));
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -0,0 +1,105 @@
+package wheelroute.net.clients;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import wheelroute.net.Counters;
+import wheelroute.net.Loop;
+
+/** The client side: the listening socket and the connections accepted on it, of which there is a bound. */
+public final class Clients implements Loop.Peer {
+    /** Beyond the bound so many more are told to go away, each for a moment; past that they are closed. */
+    private static final int MOST_TURNED_AWAY = 32;
+    /** A connection on which nothing comes for so long is closed: slow senders must not fill the bound. */
+    private static final long IDLE_MILLIS = 120_000;
+
+    private final Loop loop;
+    private final Submitters submitters;
+    private final Counters counters;
+    private final int most;
+    private final Set<ClientConnection> open = new LinkedHashSet<>();
+    private ServerSocketChannel server;
+
+    public Clients(Loop loop, Submitters submitters, Counters counters, int most) {
+        this.loop = loop;
+        this.submitters = submitters;
+        this.counters = counters;
+        this.most = most;
+    }
+
+    public void listen(InetSocketAddress address) throws IOException {
+        server = loop.listen(address, this);
+    }
+
+    /** The port is the system's choice when the configuration names 0. */
+    public int port() {
+        return server.socket().getLocalPort();
+    }
+
+    @Override
+    public Connection opened(EndPoint endPoint) {
+        if (open.size() >= most + MOST_TURNED_AWAY) {
+            endPoint.close();
+        }
+        endPoint.setIdleTimeout(IDLE_MILLIS);
+        return new ClientConnection(endPoint, loop, this);
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+        // An accepted connection that broke at once: nothing was taken on it.
+    }
+
+    /** False when it is one too many. */
+    boolean opened(ClientConnection connection) {
+        counters.count(Counters.Kind.CLIENTS_OPENED);
+        open.add(connection);
+        return open.size() <= most;
+    }
+
+    void closed(ClientConnection connection) {
+        open.remove(connection);
+    }
+
+    public int open() {
+        return open.size();
+    }
+
+    void notTaken() {
+        counters.count(Counters.Kind.NOT_TAKEN);
+    }
+
+    Submitters.Taken take(ClientMessage message, Submitters.Answers answers) {
+        return submitters.take(message, answers);
+    }
+
+    boolean isDraining() {
+        return submitters.isDraining();
+    }
+
+    ClientAnswer health() {
+        return isDraining() ? ClientAnswer.of(HttpStatus.SERVICE_UNAVAILABLE_503, "draining")
+                : ClientAnswer.of(HttpStatus.OK_200, "ok");
+    }
+
+    byte[] metrics() {
+        return submitters.metrics().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** No new connections, and none kept between two submissions. */
+    public void stopListening() throws IOException {
+        server.close();
+        for (ClientConnection connection : new ArrayList<>(open)) {
+            if (connection.isIdle()) {
+                connection.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/clients/Submitters.java
@@ -0,0 +1,22 @@
+package wheelroute.net.clients;
+
+/** What the client side hands over to, and may ask. */
+public interface Submitters {
+    /** One submission as its client's connection sees it. */
+    interface Taken {
+        /** The client closed its connection. */
+        void clientGone();
+    }
+
+    /** Where the one final answer goes. */
+    interface Answers {
+        void answer(ClientAnswer answer);
+    }
+
+    /** Null when it is not taken: there is no such offering. */
+    Taken take(ClientMessage message, Answers answers);
+
+    boolean isDraining();
+
+    String metrics();
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -0,0 +1,205 @@
+package wheelroute.net.list;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wheelroute.net.AnswerParser;
+import wheelroute.net.Counters;
+import wheelroute.net.HttpText;
+import wheelroute.net.Loop;
+
+/** The watch on discovery: one call always open, the next made as soon as one is answered. */
+public final class ListWatch {
+    /** What the watch brings. */
+    public interface Hearer {
+        void listed(WorkerList list);
+
+        void listFailed();
+    }
+
+    /** Short enough that a dead discovery is noticed before what it could not tell counts as told. */
+    private static final int HOLD_MILLIS = 5000;
+    /** An answer this long after its hold is over will not come: after 2 s its news would count as told. */
+    private static final double SILENCE = 1.5;
+    /** The largest list that is read: some thousands of workers, and yet a bound. */
+    private static final int MOST_LIST = 1 << 20;
+    private static final double MILLIS = 1e3;
+    private static final Logger LOG = LoggerFactory.getLogger(ListWatch.class);
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final Counters counters;
+    private final Hearer hearer;
+    private long version;
+    private boolean wantsWhole;
+    private Call call;
+    private Loop.Timer silence;
+
+    /** Version -1 when nothing is known. */
+    public ListWatch(Loop loop, InetSocketAddress address, Counters counters, Hearer hearer, long version) {
+        this.loop = loop;
+        this.address = address;
+        this.counters = counters;
+        this.hearer = hearer;
+        this.version = version;
+        wantsWhole = version < 0;
+    }
+
+    /** Begins to watch, unless it is under way. */
+    public void watch() {
+        if (call == null) {
+            call = new Call();
+            loop.connect(address, call);
+            waitFor(0);
+        }
+    }
+
+    private void waitFor(double hold) {
+        if (silence != null) {
+            silence.cancel();
+        }
+        Call current = call;
+        silence = loop.later(hold + SILENCE, () -> failed(current, "silence"));
+    }
+
+    private void failed(Call which, String why) {
+        if (call == null || which != call) {
+            return;
+        }
+        LOG.info("a call for the list failed: {}", why);
+        counters.count(Counters.Kind.LIST_FAILURES);
+        silence.cancel();
+        call = null;
+        which.close();
+        hearer.listFailed();
+    }
+
+    /** Changes older than what we hold mean that discovery has begun anew: only a whole list can tell. */
+    private void take(byte[] json) throws IOException {
+        WorkerList list = WorkerList.decode(json);
+        if (!list.whole() && (wantsWhole || list.version() < version)) {
+            wantsWhole = true;
+            return;
+        }
+        version = list.version();
+        wantsWhole = false;
+        hearer.listed(list);
+    }
+
+    /** One connection to discovery, and the calls made on it. */
+    private final class Call implements Loop.Peer, AnswerParser.Reader {
+        private final AnswerParser parser = new AnswerParser(this);
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private EndPoint endPoint;
+
+        @Override
+        public Connection opened(EndPoint opened) {
+            endPoint = opened;
+            return new Link(opened);
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            ListWatch.this.failed(this, "no connection");
+        }
+
+        private void close() {
+            if (endPoint != null) {
+                endPoint.close();
+            }
+        }
+
+        private void ask() {
+            if (call != this) {
+                close();
+                return;
+            }
+            counters.count(Counters.Kind.LIST_CALLS);
+            String target = "/v1/servers" + (wantsWhole ? "" : "?from=" + version + "&hold_ms=" + HOLD_MILLIS);
+            waitFor(wantsWhole ? 0 : HOLD_MILLIS / MILLIS);
+            endPoint.write(Callback.from(() -> { }, cause -> loop.post(() -> failed(cause))),
+                    new HttpText("GET " + target + " HTTP/1.1")
+                    .field("Host", address.getHostString() + ":" + address.getPort()).noBody());
+        }
+
+        @Override
+        public void head(int status, Map<String, String> fields) throws IOException {
+            body.reset();
+            if (status != HttpStatus.OK_200) {
+                throw new IOException("status " + status);
+            }
+        }
+
+        @Override
+        public void piece(ByteBuffer bytes) throws IOException {
+            if (body.size() + bytes.remaining() > MOST_LIST) {
+                throw new IOException("the list is over " + MOST_LIST);
+            }
+            byte[] piece = new byte[bytes.remaining()];
+            bytes.get(piece);
+            body.write(piece, 0, piece.length);
+        }
+
+        @Override
+        public void end(boolean keepsOpen) throws IOException {
+            take(body.toByteArray());
+            if (keepsOpen) {
+                ask();
+            } else {
+                // The next call needs a new connection, but is still the same watch.
+                close();
+                call = null;
+                watch();
+            }
+        }
+
+        /** The connection as the loop sees it. */
+        private final class Link extends AbstractConnection {
+            Link(EndPoint endPoint) {
+                super(endPoint, Runnable::run);
+            }
+
+            @Override
+            public void onOpen() {
+                super.onOpen();
+                fillInterested();
+                ask();
+            }
+
+            @Override
+            public void onFillable() {
+                try {
+                    while (call == Call.this && getEndPoint().isOpen()) {
+                        ByteBuffer in = loop.readBuffer();
+                        int got = getEndPoint().fill(in);
+                        if (got == 0) {
+                            fillInterested();
+                            return;
+                        }
+                        if (got < 0) {
+                            parser.atEnd();
+                            throw new IOException("the connection ended");
+                        }
+                        parser.parse(in);
+                    }
+                } catch (IOException e) {
+                    ListWatch.this.failed(Call.this, e.getMessage());
+                }
+            }
+
+            @Override
+            public void onFillInterestedFailed(Throwable cause) {
+                Call.this.failed(cause);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/list/WorkerList.java
@@ -0,0 +1,94 @@
+package wheelroute.net.list;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import wheelroute.config.ConfigReader;
+import wheelroute.decision.Listing;
+
+/** Discovery's list or the changes of it, decoded. */
+public record WorkerList(long version, boolean whole, List<Entry> entries) {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final double MILLIS = 1e3;
+
+    /** One worker, still under discovery's name for it; startedAt is NaN for long ago. */
+    public record Entry(String id, InetSocketAddress address, String zone, String kind, long cell,
+            Listing.Readiness readiness, double weight, double startedAt) {
+    }
+
+    public static WorkerList decode(byte[] json) throws IOException {
+        long version = -1;
+        boolean whole = false;
+        List<Entry> entries = null;
+        try (JsonParser parser = JSON.createParser(json)) {
+            expect(parser.nextToken() == JsonToken.START_OBJECT, "the list is not an object");
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                JsonToken value = parser.nextToken();
+                switch (name) {
+                    case "version" -> version = parser.getLongValue();
+                    case "full" -> whole = parser.getBooleanValue();
+                    case "servers" -> {
+                        expect(value == JsonToken.START_ARRAY, "'servers' is not a list");
+                        entries = new ArrayList<>();
+                        while (parser.nextToken() != JsonToken.END_ARRAY) {
+                            entries.add(entry(parser));
+                        }
+                    }
+                    default -> parser.skipChildren();
+                }
+            }
+        }
+        expect(version >= 0 && entries != null, "'version' or 'servers' is missing");
+        return new WorkerList(version, whole, entries);
+    }
+
+    private static Entry entry(JsonParser parser) throws IOException {
+        expect(parser.currentToken() == JsonToken.START_OBJECT, "a worker is not an object");
+        String id = null;
+        InetSocketAddress address = null;
+        String zone = "";
+        String kind = "";
+        long cell = 0;
+        Listing.Readiness readiness = null;
+        double weight = 1;
+        double started = 0;
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            switch (name) {
+                case "id" -> id = parser.getText();
+                case "addr" -> address = ConfigReader.parse(parser.getText());
+                case "zone" -> zone = parser.getText();
+                case "kind" -> kind = parser.getText();
+                case "cell" -> cell = parser.getLongValue();
+                case "state" -> readiness = readiness(parser.getText());
+                case "weight" -> weight = parser.getDoubleValue();
+                case "started_ms" -> started = parser.getDoubleValue() / MILLIS;
+                default -> parser.skipChildren();
+            }
+        }
+        expect(id != null && readiness != null && (address != null || readiness == Listing.Readiness.GONE),
+                "a worker lacks its id, state or address");
+        return new Entry(id, address, zone, kind, cell, readiness, weight, started > 0 ? started : Double.NaN);
+    }
+
+    /** A state that this version has no name for is one in which nothing new should come. */
+    private static Listing.Readiness readiness(String state) {
+        return switch (state) {
+            case "ready" -> Listing.Readiness.ACTIVE;
+            case "gone" -> Listing.Readiness.GONE;
+            default -> Listing.Readiness.LEAVING;
+        };
+    }
+
+    private static void expect(boolean holds, String fault) throws IOException {
+        if (!holds) {
+            throw new IOException(fault);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/package-info.java
@@ -0,0 +1,2 @@
+/** The dispatcher on sockets: one thread, and a package for each kind of peer. */
+package wheelroute.net;
--- /dev/null
+++ b/src/main/java/wheelroute/net/workers/Flight.java
@@ -0,0 +1,69 @@
+package wheelroute.net.workers;
+
+import wheelroute.net.End;
+
+/** One launch on its way: connecting, written, ended. */
+public final class Flight {
+    final LaunchMessage message;
+    final double outerLimit;
+    private final Launches launches;
+    private WorkerConnection on;
+    private boolean written;
+    private boolean ended;
+
+    Flight(LaunchMessage message, double outerLimit, Launches launches) {
+        this.message = message;
+        this.outerLimit = outerLimit;
+        this.launches = launches;
+    }
+
+    boolean hasEnded() {
+        return ended;
+    }
+
+    /** True once its last byte has been handed to the network: from then on it may run. */
+    public boolean isWritten() {
+        return written;
+    }
+
+    void boarded(WorkerConnection connection) {
+        on = connection;
+    }
+
+    void written() {
+        written = true;
+    }
+
+    void started() {
+        if (!ended) {
+            launches.started();
+        }
+    }
+
+    void progressed(double share) {
+        if (!ended) {
+            launches.progressed(share);
+        }
+    }
+
+    void end(End end, byte[] result, double freeSlots) {
+        if (!ended) {
+            ended = true;
+            launches.ended(end, result, freeSlots);
+        }
+    }
+
+    void end(End end) {
+        end(end, new byte[0], Double.NaN);
+    }
+
+    /** Gives it up: its connection is closed before the end is told, so that no copy can overlap it. */
+    public void giveUp(End end) {
+        if (!ended) {
+            if (on != null) {
+                on.close();
+            }
+            end(written ? end : End.ENDED_UNSENT);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/workers/LaunchDecoder.java
@@ -0,0 +1,131 @@
+package wheelroute.net.workers;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import org.eclipse.jetty.http.HttpStatus;
+import wheelroute.net.AnswerParser;
+import wheelroute.net.End;
+
+/** Decodes what a worker answers to one launch after the other on a connection. */
+final class LaunchDecoder implements AnswerParser.Reader {
+    /** What a launch is told by its decoder. */
+    interface Hearer {
+        void started();
+
+        void progressed(double share);
+
+        void ended(End end, byte[] result, double freeSlots);
+
+        /** The last byte of the answer has come. */
+        void complete(boolean keepsOpen);
+    }
+
+    /** A result of the largest body, escaped at its worst by a sixfold, and the fields round it. */
+    private static final int MOST_LINE = 6 * 64 * 1024 + 1024;
+    private static final byte[] NO_RESULT = {};
+
+    private final AnswerParser parser = new AnswerParser(this);
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final Hearer hearer;
+    private String id;
+    private boolean inLines;
+    private boolean over = true;
+
+    LaunchDecoder(Hearer hearer) {
+        this.hearer = hearer;
+    }
+
+    /** The next answer is to the launch of this submission. */
+    void expect(String submission) {
+        id = submission;
+        over = false;
+        inLines = false;
+        line.reset();
+    }
+
+    void decode(ByteBuffer in) throws IOException {
+        parser.parse(in);
+    }
+
+    void atEnd() throws IOException {
+        parser.atEnd();
+    }
+
+    @Override
+    public void head(int status, Map<String, String> fields) throws IOException {
+        if (over) {
+            throw new IOException("an answer to nothing");
+        }
+        inLines = status == HttpStatus.OK_200;
+        if (!inLines) {
+            boolean notBegun = (status == HttpStatus.SERVICE_UNAVAILABLE_503
+                    || status == HttpStatus.GATEWAY_TIMEOUT_504) && "1".equals(fields.get("x-not-processed"));
+            End end = notBegun ? End.TURNED_AWAY
+                    : status == HttpStatus.INTERNAL_SERVER_ERROR_500 ? End.FAILED : End.ODD_STATUS;
+            finish(end, NO_RESULT, WorkerNote.freeSlots(fields.get("x-server-load")));
+        }
+    }
+
+    @Override
+    public void piece(ByteBuffer bytes) throws IOException {
+        while (inLines && bytes.hasRemaining()) {
+            byte b = bytes.get();
+            if (b != '\n') {
+                line.write(b);
+                if (line.size() > MOST_LINE) {
+                    throw new IOException("a line is over " + MOST_LINE);
+                }
+            } else {
+                endLine();
+            }
+        }
+        bytes.position(bytes.limit());
+    }
+
+    private void endLine() throws IOException {
+        byte[] bytes = line.toByteArray();
+        line.reset();
+        if (over || new String(bytes, java.nio.charset.StandardCharsets.UTF_8).isBlank()) {
+            return;
+        }
+        WorkerNote note = WorkerNote.decode(bytes, bytes.length);
+        if (!note.id().equals(id)) {
+            throw new IOException("a line of another launch");
+        }
+        switch (note.state()) {
+            case STARTED -> hearer.started();
+            case RUNNING -> hearer.progressed(note.share());
+            case DONE -> {
+                if (note.result() == null) {
+                    throw new IOException("done without a result");
+                }
+                finish(End.DONE, note.result(), note.freeSlots());
+            }
+            case FAILED -> finish(End.FAILED, NO_RESULT, note.freeSlots());
+            case RETURNED -> finish(End.RETURNED, NO_RESULT, note.freeSlots());
+            case LOST -> finish(End.LOST, NO_RESULT, note.freeSlots());
+            case UNKNOWN -> {
+                // A state that came after this version: the launch still has its last line to come.
+            }
+        }
+    }
+
+    private void finish(End end, byte[] result, double freeSlots) {
+        over = true;
+        hearer.ended(end, result, freeSlots);
+    }
+
+    @Override
+    public void end(boolean keepsOpen) throws IOException {
+        if (inLines && line.size() > 0) {
+            // A last line needs no line feed when the body ends with it.
+            endLine();
+        }
+        if (!over) {
+            throw new IOException("the answer ends without its last line");
+        }
+        hearer.complete(keepsOpen);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -0,0 +1,137 @@
+package wheelroute.net.workers;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import wheelroute.net.End;
+import wheelroute.net.Loop;
+
+/** One connection to a worker: one launch at a time, idle in between. */
+final class WorkerConnection extends AbstractConnection implements LaunchDecoder.Hearer {
+    private final Loop loop;
+    private final Station station;
+    private final LaunchDecoder decoder = new LaunchDecoder(this);
+    private Flight flight;
+    /** An answer's last byte is still to come, or it will not be used again. */
+    private boolean busy;
+
+    WorkerConnection(EndPoint endPoint, Loop loop, Station station) {
+        super(endPoint, Runnable::run);
+        this.loop = loop;
+        this.station = station;
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        fillInterested();
+    }
+
+    void send(Flight next) {
+        flight = next;
+        busy = true;
+        next.boarded(this);
+        decoder.expect(next.message.id());
+        double limit = Math.max(0, next.outerLimit - loop.now());
+        getEndPoint().write(Callback.from(next::written, cause -> broke(End.BROKE_UNSENT)),
+                next.message.encode(station.host(), limit));
+    }
+
+    boolean isUsable() {
+        return !busy && getEndPoint().isOpen();
+    }
+
+    @Override
+    public void onFillable() {
+        try {
+            while (getEndPoint().isOpen()) {
+                ByteBuffer in = loop.readBuffer();
+                int got = getEndPoint().fill(in);
+                if (got == 0) {
+                    fillInterested();
+                    return;
+                }
+                if (got < 0) {
+                    decoder.atEnd();
+                    broke(End.BROKE);
+                    return;
+                }
+                read(in);
+            }
+        } catch (IOException e) {
+            broke(End.BROKE);
+        }
+    }
+
+    private void read(ByteBuffer in) {
+        try {
+            decoder.decode(in);
+        } catch (IOException e) {
+            broke(End.NONSENSE);
+        }
+    }
+
+    @Override
+    public void onFillInterestedFailed(Throwable cause) {
+        broke(End.BROKE);
+    }
+
+    /** Before the last byte is written nothing can have run, however the connection ends. */
+    private void broke(End end) {
+        close();
+        if (flight != null) {
+            flight.end(flight.isWritten() ? end : End.BROKE_UNSENT);
+        }
+    }
+
+    @Override
+    public void started() {
+        flight.started();
+    }
+
+    @Override
+    public void progressed(double share) {
+        flight.progressed(share);
+    }
+
+    @Override
+    public void ended(End end, byte[] result, double freeSlots) {
+        flight.end(end, result, freeSlots);
+    }
+
+    @Override
+    public void complete(boolean keepsOpen) {
+        if (!keepsOpen) {
+            close();
+        } else if (getEndPoint().isOpen()) {
+            flight = null;
+            busy = false;
+            station.idle(this);
+        }
+    }
+
+    /** Only the idle expire: how long an answer may take is the outer limit's affair. */
+    @Override
+    public boolean onIdleExpired(TimeoutException timeout) {
+        if (!busy) {
+            close();
+        }
+        return false;
+    }
+
+    @Override
+    public void close() {
+        busy = true;
+        super.close();
+        station.closed(this);
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        station.closed(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheelroute/net/workers/Workers.java
@@ -0,0 +1,79 @@
+package wheelroute.net.workers;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import wheelroute.decision.Ids;
+import wheelroute.net.Counters;
+import wheelroute.net.End;
+import wheelroute.net.Loop;
+
+/** The worker side: an address for each worker on the list, and a bound on the connections to all of them. */
+public final class Workers {
+    /** A connection is dropped at this part of the worker's own limit: a write that crosses it may have run. */
+    private static final double PART_OF_IDLE = 0.5;
+    private static final double MILLIS = 1e3;
+
+    private final Loop loop;
+    private final Counters counters;
+    private final int most;
+    private final long idleMillis;
+    private final Map<Ids.Worker, Station> stations = new HashMap<>();
+    private int open;
+
+    public Workers(Loop loop, Counters counters, int most, double idleLimit) {
+        this.loop = loop;
+        this.counters = counters;
+        this.most = most;
+        idleMillis = Math.max(1, (long) (PART_OF_IDLE * idleLimit * MILLIS));
+    }
+
+    /** A worker that is listed at an address; connections to an old one are not used again. */
+    public void listed(Ids.Worker worker, InetSocketAddress address) {
+        Station station = stations.get(worker);
+        if (station == null || !station.address().equals(address)) {
+            gone(worker);
+            stations.put(worker, new Station(loop, this, address));
+        }
+    }
+
+    public void gone(Ids.Worker worker) {
+        Station station = stations.remove(worker);
+        if (station != null) {
+            station.closeIdle();
+        }
+    }
+
+    /** Sends a launch; its end may be told before this returns. */
+    public Flight send(Ids.Worker worker, LaunchMessage message, double outerLimit, Launches launches) {
+        Flight flight = new Flight(message, outerLimit, launches);
+        Station station = stations.get(worker);
+        if (station == null) {
+            flight.end(End.REFUSED);
+        } else {
+            station.send(flight);
+        }
+        return flight;
+    }
+
+    boolean mayOpen() {
+        return open < most || stations.values().stream().anyMatch(Station::closeOldestIdle);
+    }
+
+    void opening() {
+        open++;
+        counters.count(Counters.Kind.WORKERS_OPENED);
+    }
+
+    void closed() {
+        open--;
+    }
+
+    long idleMillis() {
+        return idleMillis;
+    }
+
+    public int open() {
+        return open;
+    }
+}
