A launch given up is told as that, not as a break of its connection; tests on sockets

Seen in the first tests without the bench: a launch ended at its outer limit was counted as 'broke'. Flight.giveUp closed the connection first, and the close came back through the connection's read interest as a break, before the end was told. The decisions then held a break against a worker that had done nothing but wait, and each call-off likewise. Now the flight is ended before the close.

Also: nonsense that the HTTP parser throws on ends its connection only; idle connections from before a worker's restart are not used again; after the last moment of a drain launches end unsent, so that the module answers what is left. Tests: configuration, the three codecs, the whole dispatcher on loopback sockets.

--- a/src/main/java/wheelroute/Main.java
+++ b/src/main/java/wheelroute/Main.java
@@ -56,8 +56,8 @@
     private static void end(Service service) {
         try {
             service.drain();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        } catch (Exception e) {
+            System.err.println("wheelroute: " + e);
         }
         Runtime.getRuntime().halt(0);
     }
--- a/src/main/java/wheelroute/net/AnswerParser.java
+++ b/src/main/java/wheelroute/net/AnswerParser.java
@@ -40,7 +40,12 @@
     /** Uses up the bytes; throws when they are not an answer, or the reader refuses it. */
     public void parse(ByteBuffer in) throws IOException {
         while (in.hasRemaining()) {
-            parser.parseNext(in);
+            try {
+                parser.parseNext(in);
+            } catch (RuntimeException e) {
+                // Some nonsense is told so, the rest as a bad message: neither may end more than its connection.
+                throw new IOException("no HTTP answer", e);
+            }
             if (fault != null) {
                 throw fault;
             }
--- a/src/main/java/wheelroute/net/Exchange.java
+++ b/src/main/java/wheelroute/net/Exchange.java
@@ -15,6 +15,8 @@
 
 /** One submission: its handle, its launches and its single final answer. Client and worker side meet here. */
 final class Exchange implements Submitters.Taken {
+    private static final byte[] NO_RESULT = {};
+
     private final Exchanges exchanges;
     private final Submission submission;
     private final LaunchMessage message;
@@ -34,21 +36,14 @@
         limit = loop.later(submission.outerLimit() - loop.now(), this::outOfTime);
     }
 
-    Submission submission() {
-        return submission;
-    }
-
     boolean isAnswered() {
         return answered;
     }
 
-    /** Decides where it goes; false when it is not to be taken. */
-    boolean begin(Policy policy) {
+    /** Decides where it goes. */
+    void begin(Policy policy) {
         handle = policy.take(submission);
-        if (handle == null) {
-            limit.cancel();
-        }
-        return handle != null;
+        closeIfOver();
     }
 
     /** One launch, from its number to its end. */
@@ -60,6 +55,12 @@
             this.number = number;
         }
 
+        void giveUp(End end) {
+            if (flight != null) {
+                flight.giveUp(end);
+            }
+        }
+
         @Override
         public void started() {
             exchanges.turn(() -> handle.started(number));
@@ -86,12 +87,16 @@
     void launch(Ids.Worker worker) {
         Launch launch = new Launch(launches.size());
         launches.add(launch);
-        exchanges.counters().count(Counters.Kind.LAUNCHED);
-        launch.flight = exchanges.workers().send(worker, message, submission.outerLimit(), launch);
+        if (exchanges.hasEnded()) {
+            launch.ended(End.ENDED_UNSENT, NO_RESULT, Double.NaN);
+        } else {
+            exchanges.counters().count(Counters.Kind.LAUNCHED);
+            launch.flight = exchanges.workers().send(worker, message, submission.outerLimit(), launch);
+        }
     }
 
     void cancel(int number) {
-        launches.get(number).flight.giveUp(End.CALLED_OFF);
+        launches.get(number).giveUp(End.CALLED_OFF);
     }
 
     void answer(Counters.Kind kind, ClientAnswer answer) {
@@ -107,7 +112,7 @@
         answered = true;
         for (Launch launch : launches) {
             if (launch.flight != null && !launch.flight.isWritten()) {
-                launch.flight.giveUp(End.CALLED_OFF);
+                launch.giveUp(End.CALLED_OFF);
             }
         }
     }
@@ -127,7 +132,7 @@
     /** Ends what is still out; the decisions then say what the client is told. */
     void outOfTime() {
         for (Launch launch : new ArrayList<>(launches)) {
-            launch.flight.giveUp(End.TIMED_OUT);
+            launch.giveUp(End.TIMED_OUT);
         }
         exchanges.turn(() -> {
             if (!answered) {
@@ -138,15 +143,11 @@
         });
     }
 
-    private void closeIfOver() {
+    /** Also after its taking: what is answered within it has no later event that would close it. */
+    void closeIfOver() {
         if (answered && handle.isOver()) {
             limit.cancel();
             exchanges.remove(submission.id());
         }
     }
-
-    /** Answered within its taking: no event comes later that would close it. */
-    void closeIfAnswered() {
-        closeIfOver();
-    }
 }
--- a/src/main/java/wheelroute/net/Exchanges.java
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -42,6 +42,7 @@
     private ListWatch watch;
     private boolean deciding;
     private boolean draining;
+    private boolean ended;
     private long lastSubmission;
     private long lastWorker;
     private Clients clients;
@@ -116,10 +117,7 @@
         Exchange exchange = new Exchange(this, loop, submission, message, answers);
         open.put(submission.id(), exchange);
         counters.count(Counters.Kind.TAKEN);
-        turn(() -> {
-            exchange.begin(policy);
-            exchange.closeIfAnswered();
-        });
+        turn(() -> exchange.begin(policy));
         return exchange;
     }
 
@@ -157,14 +155,18 @@
                 lost.put(entry.id(), worker);
             } else {
                 lost.remove(entry.id());
-                workers.listed(worker, entry.address());
+                workers.listed(worker, entry.address(), entry.startedAt());
             }
             entries.add(new Listing(worker, new Ids.Model(entry.kind()), entry.weight(),
                     new Ids.Zone(entry.zone()), entry.startedAt(), new Ids.Cell(entry.cell()),
                     entry.readiness()));
         }
         turn(() -> policy.listed(entries, list.whole(), remembered));
-        lost.values().forEach(workers::gone);
+        lost.forEach((name, worker) -> {
+            workers.gone(worker);
+            // Releases bring new names for ever; one that comes back is a new worker to the decisions.
+            names.remove(name);
+        });
     }
 
     @Override
@@ -215,8 +217,14 @@
         return open.values().stream().filter(exchange -> !exchange.isAnswered()).count();
     }
 
+    /** From here on every launch ends unsent, so that the decisions are left with an answer. */
+    boolean hasEnded() {
+        return ended;
+    }
+
     /** No more time: what is out is ended, and the decisions say what each client is told. */
     void giveUpAll() {
+        ended = true;
         new ArrayList<>(open.values()).forEach(Exchange::outOfTime);
     }
 }
--- a/src/main/java/wheelroute/net/Service.java
+++ b/src/main/java/wheelroute/net/Service.java
@@ -75,10 +75,11 @@
     }
 
     /** From any thread: answers what was taken, then returns. */
-    public void drain() throws InterruptedException {
+    public void drain() throws Exception {
         loop.post(this::beginDrain);
         drained.await();
         LOG.info("at the end\n{}", exchanges.metrics());
+        loop.stop();
     }
 
     private void beginDrain() {
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -31,7 +31,12 @@
     /** The next message, or null when more bytes are wanted; what follows it stays in the buffer. */
     public ClientMessage decode(ByteBuffer in) throws BadMessage {
         while (!complete && fault == null && in.hasRemaining()) {
-            parser.parseNext(in);
+            try {
+                parser.parseNext(in);
+            } catch (RuntimeException e) {
+                // Some nonsense is told so, the rest as a bad message: neither may end more than its connection.
+                throw new BadMessage(HttpStatus.BAD_REQUEST_400, "no HTTP message");
+            }
         }
         if (fault != null) {
             throw fault;
--- a/src/main/java/wheelroute/net/workers/Flight.java
+++ b/src/main/java/wheelroute/net/workers/Flight.java
@@ -4,6 +4,8 @@
 
 /** One launch on its way: connecting, written, ended. */
 public final class Flight {
+    private static final byte[] NO_RESULT = {};
+
     final LaunchMessage message;
     final double outerLimit;
     private final Launches launches;
@@ -54,16 +56,18 @@
     }
 
     void end(End end) {
-        end(end, new byte[0], Double.NaN);
+        end(end, NO_RESULT, Double.NaN);
     }
 
     /** Gives it up: its connection is closed before the end is told, so that no copy can overlap it. */
     public void giveUp(End end) {
         if (!ended) {
+            // Ended already for the connection, whose close would else be taken for a break.
+            ended = true;
             if (on != null) {
                 on.close();
             }
-            end(written ? end : End.ENDED_UNSENT);
+            launches.ended(written ? end : End.ENDED_UNSENT, NO_RESULT, Double.NaN);
         }
     }
 }
--- a/src/main/java/wheelroute/net/workers/Station.java
+++ b/src/main/java/wheelroute/net/workers/Station.java
@@ -16,18 +16,21 @@
     private final Loop loop;
     private final Workers workers;
     private final InetSocketAddress address;
+    private final double startedAt;
     private final Set<WorkerConnection> open = new HashSet<>();
     /** The one used last is used next, so that those not needed grow old and expire. */
     private final ArrayDeque<WorkerConnection> idle = new ArrayDeque<>();
+    private boolean left;
 
-    Station(Loop loop, Workers workers, InetSocketAddress address) {
+    Station(Loop loop, Workers workers, InetSocketAddress address, double startedAt) {
         this.loop = loop;
         this.workers = workers;
         this.address = address;
+        this.startedAt = startedAt;
     }
 
-    InetSocketAddress address() {
-        return address;
+    boolean isStill(InetSocketAddress listed, double listedStart) {
+        return address.equals(listed) && Double.compare(startedAt, listedStart) == 0;
     }
 
     String host() {
@@ -81,7 +84,11 @@
     }
 
     void idle(WorkerConnection connection) {
-        idle.addLast(connection);
+        if (left) {
+            connection.close();
+        } else {
+            idle.addLast(connection);
+        }
     }
 
     boolean closeOldestIdle() {
@@ -99,7 +106,9 @@
         }
     }
 
-    void closeIdle() {
+    /** It has left the list, or is another process now: what is out may end, nothing is used again. */
+    void leave() {
+        left = true;
         new ArrayList<>(idle).forEach(WorkerConnection::close);
     }
 }
--- a/src/main/java/wheelroute/net/workers/Workers.java
+++ b/src/main/java/wheelroute/net/workers/Workers.java
@@ -28,19 +28,19 @@
         idleMillis = Math.max(1, (long) (PART_OF_IDLE * idleLimit * MILLIS));
     }
 
-    /** A worker that is listed at an address; connections to an old one are not used again. */
-    public void listed(Ids.Worker worker, InetSocketAddress address) {
+    /** A worker as listed, NaN for one up long since; connections from before a restart are not used again. */
+    public void listed(Ids.Worker worker, InetSocketAddress address, double startedAt) {
         Station station = stations.get(worker);
-        if (station == null || !station.address().equals(address)) {
+        if (station == null || !station.isStill(address, startedAt)) {
             gone(worker);
-            stations.put(worker, new Station(loop, this, address));
+            stations.put(worker, new Station(loop, this, address, startedAt));
         }
     }
 
     public void gone(Ids.Worker worker) {
         Station station = stations.remove(worker);
         if (station != null) {
-            station.closeIdle();
+            station.leave();
         }
     }
 
--- /dev/null
+++ b/src/test/java/wheelroute/ConfigTest.java
@@ -0,0 +1,124 @@
+package wheelroute;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.config.Config;
+import wheelroute.config.ConfigException;
+import wheelroute.config.ConfigReader;
+import wheelroute.config.SettingsReader;
+import wheelroute.decision.Effect;
+import wheelroute.decision.Group;
+import wheelroute.decision.Ids;
+
+/** What a dispatcher is told at its start, read from the environment and its file. */
+public class ConfigTest {
+    private static final String CLASSES = "'request_classes':[{'name':'light','effect':'free','on_time_us':200000,"
+            + "'hard_limit_us':5000000,'worth':2.0},{'name':'alert','effect':'guarded','group':'cell',"
+            + "'hard_limit_us':20000000,'window_us':30000000}]";
+    private static final String SETTINGS = "'settings':{'az':'west','family_info':{'class_stretch':[1.75,2.0],"
+            + "'class_kind':[-1,1],'progress_us':1000000},'models':['fast core','slow'],"
+            + "'permissions':{'cancel':true,'connect_timeout_us':250000,'conn_idle_us':60000000},"
+            + "'tenants':[{'name':'t','quota_per_s':28.0}],'later':{'key':[{'a':null}]}," + CLASSES + "}";
+    private static final String WHOLE = "{'name':'n3','listen':'127.0.0.4:8081','discovery':'127.0.0.1:8500',"
+            + "'seed':'8c1f30d27a5be964','limits':{'sockets':512},'peers':['127.0.0.9:1'],"
+            + "'known':{'version':41,'full':true,'servers':[]}," + SETTINGS + "}";
+
+    static Config read(String json, Map<String, String> more) throws IOException, ConfigException {
+        Path file = Files.createTempFile("config", ".json");
+        try {
+            Files.write(file, json.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+            Map<String, String> environment = new HashMap<>(more);
+            environment.putIfAbsent("LB_CONFIG", file.toString());
+            return ConfigReader.read(environment);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    public void readsAll() throws IOException, ConfigException {
+        Config config = read(WHOLE, Map.of("LB_NAME", "n4"));
+        assertEquals(config.name(), "n4");
+        assertEquals(config.listen().getPort(), 8081);
+        assertEquals(config.sockets(), 512);
+        assertEquals(config.connectLimit(), 0.25);
+        assertEquals(config.idleLimit(), 60.0);
+        assertEquals(config.longestOuterLimit(), 20.0);
+        assertEquals(config.settings().seed(), 0x8c1f30d27a5be964L);
+        assertEquals(config.settings().zone(), new Ids.Zone("west"));
+        assertEquals(config.settings().progressEvery(), 1.0);
+        assertTrue(config.settings().listMustBeAsked());
+        assertTrue(config.settings().mayCancel());
+        assertEquals(config.settings().offerings().get(0).stretch(), 1.75);
+        assertEquals(config.settings().offerings().get(1).effect(), Effect.DEDUPLICATED);
+        assertEquals(config.settings().offerings().get(1).group(), Group.CELL);
+        assertEquals(config.settings().offerings().get(1).model(), new Ids.Model("slow"));
+        assertEquals(config.settings().quotas(), Map.of(new Ids.Tenant("t"), 28.0));
+        assertEquals(new String(config.known(), StandardCharsets.UTF_8),
+                "{\"version\":41,\"full\":true,\"servers\":[]}");
+    }
+
+    /** One mapping serves both: the same settings must mean the same on the bench's wire and in the file. */
+    @Test
+    public void readsAsTheWireDoes() throws IOException, ConfigException {
+        Map<String, String> wire = new HashMap<>();
+        for (String pair : ("az=west family_info.class_stretch=1.75,2.0 family_info.class_kind=-1,1"
+                + " family_info.progress_us=1000000 models=fast_core,slow permissions.cancel=true"
+                + " tenants.count=1 tenants.0.name=t tenants.0.quota_per_s=28.0 request_classes.count=2"
+                + " request_classes.0.name=light request_classes.0.effect=free request_classes.0.worth=2.0"
+                + " request_classes.0.on_time_us=200000 request_classes.1.name=alert"
+                + " request_classes.1.effect=guarded request_classes.1.group=cell"
+                + " request_classes.1.window_us=30000000 membership_mode=ask").split(" ")) {
+            wire.put(pair.substring(0, pair.indexOf('=')), pair.substring(pair.indexOf('=') + 1));
+        }
+        assertEquals(read(WHOLE, Map.of()).settings(), SettingsReader.read(0x8c1f30d27a5be964L, wire));
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            // what is taken out, what stands there instead, the key that the message must name
+            {"'listen':'127.0.0.4:8081',", "", "listen"},
+            {"127.0.0.4:8081", "127.0.0.4", "listen"},
+            {"127.0.0.4:8081", "127.0.0.4:80810", "listen"},
+            {"'discovery':'127.0.0.1:8500',", "", "discovery"},
+            {"'name':'n3',", "", "name"},
+            {"8c1f30d27a5be964", "twelve", "seed"},
+            {"'sockets':512", "'sockets':3", "limits.sockets"},
+            {"'sockets':512", "'sockets':'few'", "limits.sockets"},
+            {"'hard_limit_us':5000000", "'hard_limit_us':0", "request_classes.0.hard_limit_us"},
+            {"'on_time_us':200000", "'on_time_us':'soon'", "request_classes.0.on_time_us"},
+            {"'connect_timeout_us':250000", "'connect_timeout_us':-1", "connect_timeout_us"},
+            {CLASSES, "'request_classes':[]", "request_classes"},
+            {"'settings'", "'sittings'", "request_classes"},
+            {WHOLE, "[]", "LB_CONFIG"},
+            {WHOLE, WHOLE.substring(0, 90), "LB_CONFIG"},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void namesTheFaultyKey(String out, String in, String key) {
+        String message = expectThrows(ConfigException.class, () -> read(WHOLE.replace(out, in), Map.of()))
+                .getMessage();
+        assertTrue(message.contains(key), message);
+    }
+
+    @Test
+    public void namesTheMissingFile() {
+        String message = expectThrows(ConfigException.class,
+                () -> read(WHOLE, Map.of("LB_CONFIG", "/no/such/file"))).getMessage();
+        assertTrue(message.contains("LB_CONFIG"), message);
+        assertTrue(expectThrows(ConfigException.class, () -> ConfigReader.read(Map.of())).getMessage()
+                .contains("LB_CONFIG"));
+    }
+}
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -16,24 +16,24 @@
 import wheelroute.decision.Submission;
 
 /** One policy, what it did so far, and short ways to tell it what happens. */
-final class World implements Dispatcher {
+public final class World implements Dispatcher {
     static final double START = 100;
     static final double LIMIT = 10;
     private static final int MOST_TO_FILL = 40;
 
     /** The settings a case may vary, with plain values to start from. */
-    static final class Given {
-        Effect effect = Effect.IDEMPOTENT;
+    public static final class Given {
+        public Effect effect = Effect.IDEMPOTENT;
         Group group = Group.CELL;
         double window = 20;
-        boolean mayCopy = true;
-        boolean mustAsk;
+        public boolean mayCopy = true;
+        public boolean mustAsk;
         boolean tellsStart = true;
         int mostLaunches = 6;
         int dispatchers = 1;
         double retryAfter = 2;
 
-        Settings settings() {
+        public Settings settings() {
             return new Settings(7, new Ids.Zone("here"), dispatchers, 0.005, List.of(new Settings.Offering(
                     new Ids.Offering("job"), effect, group, 1, 2, 3, 0.3, window, null),
                     new Settings.Offering(new Ids.Offering("patient"), effect, group, 8, 2, 3, 0.3,
--- /dev/null
+++ b/src/test/java/wheelroute/net/ServiceTest.java
@@ -0,0 +1,429 @@
+package wheelroute.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.World;
+import wheelroute.config.Config;
+import wheelroute.decision.Effect;
+import wheelroute.decision.Group;
+import wheelroute.decision.Ids;
+import wheelroute.decision.Settings;
+
+/** The whole dispatcher on loopback sockets, between clients, workers and a discovery that do as they are told. */
+public class ServiceTest {
+    private static final int PATIENCE = 20_000;
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String STARTED = line("started");
+    private static final String DONE = HEAD + STARTED + line("done") + "0\r\n\r\n";
+    private static final String TURNED_AWAY = "HTTP/1.1 503 X\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String BREAK = "";
+    private static final String BREAK_LATE = HEAD + STARTED;
+    private static final String SILENCE = null;
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final Stub workers = new Stub();
+    private final Stub discovery = new Stub();
+    private Service service;
+    private int port;
+
+    /** Listens, notes each message that comes, and answers the nth with the nth of what it was told. */
+    private final class Stub {
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final BlockingQueue<Integer> closed = new LinkedBlockingQueue<>();
+        final List<String> answers = new ArrayList<>();
+        final AtomicInteger messages = new AtomicInteger();
+        final AtomicInteger connections = new AtomicInteger();
+
+        InetSocketAddress listen() throws IOException {
+            ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            open.add(server);
+            start(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    open.add(socket);
+                    int number = connections.incrementAndGet();
+                    start(() -> {
+                        try (socket) {
+                            serve(socket);
+                        } finally {
+                            closed.add(number);
+                        }
+                    });
+                }
+            });
+            return (InetSocketAddress) server.getLocalSocketAddress();
+        }
+
+        private void serve(Socket socket) throws IOException {
+            while (true) {
+                String message = read(socket.getInputStream());
+                int number = messages.getAndIncrement();
+                heard.add(message);
+                String answer = number < answers.size() ? answers.get(number) : SILENCE;
+                if (answer == SILENCE) {
+                    continue;
+                }
+                String id = message.replaceAll("(?s).*X-Request-ID: (\\w+).*", "$1");
+                socket.getOutputStream().write(answer.replace("ID", id).getBytes(StandardCharsets.UTF_8));
+                if (answer.equals(BREAK) || answer.equals(BREAK_LATE)) {
+                    return;
+                }
+            }
+        }
+
+        String next() throws InterruptedException {
+            String message = heard.poll(PATIENCE, TimeUnit.MILLISECONDS);
+            return message == null ? "nothing came" : message.substring(0, message.indexOf("\r\n"));
+        }
+    }
+
+    private interface Life {
+        void run() throws Exception;
+    }
+
+    private static void start(Life life) {
+        Thread thread = new Thread(() -> {
+            try {
+                life.run();
+            } catch (Exception e) {
+                // Its peer has gone, or the case is over.
+                Thread.currentThread().interrupt();
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** One message: its head, and as much body as that says. */
+    private static String read(InputStream in) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        int length = 0;
+        for (int left = -1; left != 0; left -= left > 0 ? 1 : 0) {
+            int b = in.read();
+            if (b < 0) {
+                throw new EOFException("it ended after: " + out);
+            }
+            out.write(b);
+            if (left < 0 && out.toString(StandardCharsets.UTF_8).endsWith("\r\n\r\n")) {
+                String head = out.toString(StandardCharsets.UTF_8);
+                int at = head.indexOf("Content-Length: ");
+                length = at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)));
+                left = length + 1;
+            }
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private static String line(String state) {
+        String line = "{\"id\":\"ID\",\"from\":\"w\",\"state\":\"" + state + "\",\"result\":\"fine\"}\n";
+        // Ids in the cases have as many letters as the word that stands for them.
+        return Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
+    }
+
+    private static String known(InetSocketAddress... addresses) {
+        StringBuilder out = new StringBuilder();
+        for (InetSocketAddress address : addresses) {
+            out.append(out.length() > 0 ? "," : "").append("{\"id\":\"w").append(address.getPort())
+                    .append("\",\"addr\":\"127.0.0.1:").append(address.getPort())
+                    .append("\",\"zone\":\"here\",\"kind\":\"m\",\"cell\":1,\"state\":\"ready\"}");
+        }
+        return "{\"version\":5,\"full\":true,\"servers\":[" + out + "]}";
+    }
+
+    private void serve(Effect effect, int sockets, String known) throws Exception {
+        World.Given given = new World.Given();
+        given.effect = effect;
+        given.mustAsk = true;
+        given.mayCopy = false;
+        Settings settings = given.settings();
+        service = new Service(new Config("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                discovery.listen(), sockets, known.getBytes(StandardCharsets.UTF_8), settings, 0.5, 10, 2));
+        service.start();
+        port = service.port();
+    }
+
+    private void serve(Effect effect, String... answers) throws Exception {
+        workers.answers.addAll(List.of(answers));
+        serve(effect, 1024, known(workers.listen(), workers.listen()));
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        open.add(socket);
+        socket.setSoTimeout(PATIENCE);
+        return socket;
+    }
+
+    private static String post(double timeout) {
+        return "POST /job/x HTTP/1.1\r\nHost: a\r\nX-Request-ID: 77\r\nX-Timeout: " + timeout
+                + "\r\nX-Cost: 20000\r\nContent-Length: 2\r\n\r\nhi";
+    }
+
+    private static String ask(Socket socket, String message) throws IOException {
+        socket.getOutputStream().write(message.getBytes(StandardCharsets.UTF_8));
+        return read(socket.getInputStream());
+    }
+
+    private static int status(String answer) {
+        return Integer.parseInt(answer.split(" ")[1]);
+    }
+
+    private long metric(String name) throws IOException {
+        String text = ask(connect(), "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        String from = text.substring(text.indexOf("\nwheelroute_" + name + " ") + name.length() + 13);
+        return Long.parseLong(from.substring(0, from.indexOf('\n')));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void end() throws Exception {
+        if (service != null) {
+            service.drain();
+        }
+        for (AutoCloseable one : new ArrayList<>(open)) {
+            one.close();
+        }
+        open.clear();
+        for (Stub stub : List.of(workers, discovery)) {
+            stub.heard.clear();
+            stub.closed.clear();
+            stub.answers.clear();
+            stub.messages.set(0);
+            stub.connections.set(0);
+        }
+        service = null;
+    }
+
+    @DataProvider
+    public Object[][] lives() {
+        String otherId = HEAD + line("done").replace("ID", "78") + "0\r\n\r\n";
+        String plain = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+        return new Object[][] {
+            // what a repeat would do, the answers to its launches, the client's status, launches in all
+            {Effect.UNREPEATABLE, List.of(DONE), 200, 1},
+            {Effect.UNREPEATABLE, List.of(TURNED_AWAY, DONE), 200, 2},
+            {Effect.UNREPEATABLE, List.of(HEAD + line("returned") + "0\r\n\r\n", DONE), 200, 2},
+            {Effect.UNREPEATABLE, List.of(BREAK, DONE), 502, 1},
+            {Effect.UNREPEATABLE, List.of(BREAK_LATE, DONE), 502, 1},
+            {Effect.UNREPEATABLE, List.of(plain, DONE), 502, 1},
+            {Effect.UNREPEATABLE, List.of(HEAD + line("lost") + "0\r\n\r\n", DONE), 502, 1},
+            {Effect.UNREPEATABLE, List.of(TURNED_AWAY, TURNED_AWAY), 503, 2},
+            {Effect.IDEMPOTENT, List.of(BREAK, DONE), 200, 2},
+            {Effect.IDEMPOTENT, List.of(BREAK_LATE, DONE), 200, 2},
+            {Effect.IDEMPOTENT, List.of("nonsense\r\n\r\n", DONE), 200, 2},
+            {Effect.IDEMPOTENT, List.of(otherId, DONE), 200, 2},
+            {Effect.IDEMPOTENT, List.of(HEAD + STARTED + "0\r\n\r\n", DONE), 200, 2},
+        };
+    }
+
+    @Test(dataProvider = "lives", timeOut = PATIENCE)
+    public void answersOnceByWhatWorkersSaid(Effect effect, List<String> answers, int status, int launches)
+            throws Exception {
+        serve(effect, answers.toArray(new String[0]));
+        String answer = ask(connect(), post(10));
+        assertEquals(status(answer), status, answer);
+        assertEquals(answer.endsWith("\r\n\r\nfine"), status == 200, answer);
+        assertEquals(workers.messages.get(), launches);
+        String first = workers.heard.take();
+        assertTrue(first.startsWith("POST /job/x HTTP/1.1\r\n") && first.endsWith("\r\n\r\nhi"), first);
+        assertEquals(metric("launches_total"), launches);
+        assertEquals(metric("answers_total{kind=\"fulfilled\"}"), status == 200 ? 1 : 0);
+        assertEquals(metric("submissions_open"), 0);
+    }
+
+    /** A worker that refuses connections has run nothing: even what must not be repeated goes on. */
+    @Test(timeOut = PATIENCE)
+    public void refusedConnectionsProveNothingRan() throws Exception {
+        ServerSocket dead = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        InetSocketAddress refusing = (InetSocketAddress) dead.getLocalSocketAddress();
+        dead.close();
+        workers.answers.addAll(List.of(DONE, DONE, DONE, DONE, DONE, DONE));
+        serve(Effect.UNREPEATABLE, 1024, known(refusing, workers.listen()));
+        // Which of two equals is chosen first is chance: six go wrong all the same with one chance in 64.
+        for (int i = 0; i < 6; i++) {
+            assertEquals(status(ask(connect(), post(10))), 200);
+        }
+    }
+
+    @DataProvider
+    public Object[][] silences() {
+        return new Object[][] {{Effect.IDEMPOTENT, 503}, {Effect.UNREPEATABLE, 502}};
+    }
+
+    /** Rule 1, and rule 2 in what the answer promises; the launch's connection ends with it. */
+    @Test(dataProvider = "silences", timeOut = PATIENCE)
+    public void answersBeforeTheOuterLimit(Effect effect, int status) throws Exception {
+        serve(effect);
+        long before = System.nanoTime();
+        String answer = ask(connect(), post(0.3));
+        double took = (System.nanoTime() - before) / 1e9;
+        assertEquals(status(answer), status, answer);
+        assertTrue(took > 0.2 && took < 1.3, "after " + took);
+        assertTrue(workers.closed.take() > 0);
+        assertEquals(metric("launch_ends_total{end=\"timed_out\"}"), 1);
+    }
+
+    /** Guards against work for nobody: a client that leaves takes its launch with it. */
+    @Test(timeOut = PATIENCE)
+    public void aClientThatLeavesEndsItsLaunch() throws Exception {
+        serve(Effect.IDEMPOTENT);
+        Socket client = connect();
+        client.getOutputStream().write(post(10).getBytes(StandardCharsets.UTF_8));
+        workers.next();
+        client.close();
+        assertTrue(workers.closed.take() > 0);
+        assertEquals(metric("clients_gone_total"), 1);
+        assertEquals(metric("submissions_open"), 0);
+    }
+
+    /** A connection serves one launch after the other, for both sides; only a whole answer frees it. */
+    @Test(timeOut = PATIENCE)
+    public void keepsConnections() throws Exception {
+        workers.answers.addAll(List.of(DONE, DONE, DONE));
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        Socket client = connect();
+        String two = ask(client, post(10) + post(10)) + read(client.getInputStream());
+        assertEquals(two.split("fine", -1).length, 3, two);
+        assertEquals(status(ask(client, post(10))), 200);
+        assertEquals(workers.connections.get(), 1);
+    }
+
+    /** The answer goes out with the last line, but what may still come bars its connection from use. */
+    @Test(timeOut = PATIENCE)
+    public void anUnreadTailBarsReuse() throws Exception {
+        workers.answers.addAll(List.of(DONE.substring(0, DONE.length() - 5), DONE));
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        assertEquals(status(ask(connect(), post(10))), 200);
+        assertEquals(status(ask(connect(), post(10))), 200);
+        assertEquals(workers.connections.get(), 2);
+    }
+
+    @DataProvider
+    public Object[][] strangers() {
+        return new Object[][] {
+            {"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", 200},
+            {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", 404},
+            {post(1).replace("/job/", "/other/"), 404},
+            {post(1).replace("POST", "PUT"), 404},
+            {post(1).replace("X-Request-ID", "X-Other"), 400},
+            {post(1).replace("X-Timeout", "X-Other"), 400},
+            {post(1).replace("1.0", "0"), 400},
+            {post(1).replace("1.0", "soon"), 400},
+            {"hello\r\n\r\n", 400},
+            {post(1).replace("Content-Length: 2", "Content-Length: 99999"), 413},
+            {post(1).replace("77", "7".repeat(10_000)), 431},
+        };
+    }
+
+    @Test(dataProvider = "strangers", timeOut = PATIENCE)
+    public void takesOnlySubmissions(String message, int status) throws Exception {
+        serve(Effect.IDEMPOTENT, DONE);
+        assertEquals(status(ask(connect(), message)), status);
+        assertEquals(metric("submissions_taken_total"), 0);
+        assertEquals(status(ask(connect(), post(10))), 200);
+    }
+
+    /** Descriptors run out some day: one client too many is told so at once, and the others are served. */
+    @Test(timeOut = PATIENCE)
+    public void turnsAwayWhenFull() throws Exception {
+        workers.answers.add(DONE);
+        serve(Effect.IDEMPOTENT, 20, known(workers.listen()));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            clients.add(connect());
+            assertEquals(status(ask(clients.get(i), "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")), 200);
+        }
+        assertEquals(status(read(connect().getInputStream())), 503);
+        assertEquals(status(ask(clients.get(0), post(10))), 200);
+    }
+
+    @DataProvider
+    public Object[][] lists() {
+        String text = "{\"version\":7,\"full\":false,\"servers\":[]}";
+        String fresh = http(text);
+        return new Object[][] {
+            // what the first call is answered, and the call that follows it
+            {fresh, "/v1/servers?from=7&hold_ms=5000"},
+            {fresh.replace("HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nConnection: close"),
+                "/v1/servers?from=7&hold_ms=5000"},
+            {http(text.replace("7", "3")), "/v1/servers"},
+            {http(text.replace("false", "true")), "/v1/servers?from=7&hold_ms=5000"},
+            {http("nonsense"), "/v1/servers?from=5&hold_ms=5000"},
+            {"nonsense\r\n\r\n", "/v1/servers?from=5&hold_ms=5000"},
+            {fresh.replace("200", "503"), "/v1/servers?from=5&hold_ms=5000"},
+            {BREAK, "/v1/servers?from=5&hold_ms=5000"},
+            {SILENCE, "/v1/servers?from=5&hold_ms=5000"},
+        };
+    }
+
+    private static String http(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Rule 3 needs a watch that neither lapses nor hangs, whatever discovery answers. */
+    @Test(dataProvider = "lists", timeOut = PATIENCE)
+    public void goesOnWatching(String answer, String call) throws Exception {
+        discovery.answers.add(answer);
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        assertEquals(discovery.next(), "GET /v1/servers?from=5&hold_ms=5000 HTTP/1.1");
+        assertEquals(discovery.next(), "GET " + call + " HTTP/1.1");
+    }
+
+    /** Without a remembered list the whole is asked for, and used. */
+    @Test(timeOut = PATIENCE)
+    public void launchesByTheListAlone() throws Exception {
+        workers.answers.add(DONE);
+        discovery.answers.add(http(known(workers.listen())));
+        serve(Effect.IDEMPOTENT, 1024, "{\"version\":0,\"full\":true,\"servers\":[]}");
+        discovery.next();
+        discovery.next();
+        assertEquals(status(ask(connect(), post(10))), 200);
+    }
+
+    /** The end that a signal brings: what was taken is answered, and nothing after that is accepted. */
+    @Test(timeOut = PATIENCE)
+    public void answersAllBeforeItEnds() throws Exception {
+        workers.answers.addAll(List.of(HEAD + STARTED + STARTED));
+        serve(Effect.UNREPEATABLE, 1024, known(workers.listen()));
+        Socket waiting = connect();
+        waiting.getOutputStream().write(post(10).getBytes(StandardCharsets.UTF_8));
+        workers.next();
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        Service draining = service;
+        start(() -> {
+            draining.drain();
+            ended.complete(null);
+        });
+        String health = "";
+        while (!health.startsWith("HTTP/1.1 503")) {
+            health = ask(connect(), "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+        }
+        assertTrue(health.contains("Connection: close"), health);
+        String answer = read(waiting.getInputStream());
+        assertEquals(status(answer), 502, answer);
+        assertTrue(answer.contains("Connection: close"), answer);
+        ended.get();
+        expectThrows(IOException.class, this::connect);
+        service = null;
+    }
+}
--- /dev/null
+++ b/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
@@ -0,0 +1,121 @@
+package wheelroute.net.clients;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Clients' messages in all the shapes that a network or a stranger may give them. */
+public class ClientDecoderTest {
+    private static final String FIELDS = "Host: app.svc\r\nX-Request-ID: 9b1f\r\nx-route-key: 7f3a\r\n"
+            + "X-Timeout: 0.480\r\nIdempotency-Key: 5c0f\r\nX-Cost: 12000\r\nX-Retried: 1\r\n"
+            + "X-Attrs: slots=2,memory=1.5\r\nX-Tenant-Id: t\r\n";
+    private static final String POST = "POST /render/a%20b?q=1&r HTTP/1.1\r\n" + FIELDS
+            + "Content-Length: 5\r\n\r\nhello";
+    private static final String CHUNKED = "POST /render/a%20b?q=1&r HTTP/1.1\r\n" + FIELDS
+            + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @DataProvider
+    public Object[][] forms() {
+        return new Object[][] {{POST}, {CHUNKED}};
+    }
+
+    @Test(dataProvider = "forms")
+    public void decodesHoweverItIsSplit(String text) throws BadMessage {
+        for (int cut = 1; cut < text.length(); cut++) {
+            ClientDecoder decoder = new ClientDecoder();
+            assertNull(decoder.decode(bytes(text.substring(0, cut))), "cut at " + cut);
+            ClientMessage message = decoder.decode(bytes(text.substring(cut)));
+            assertEquals(message.target(), "/render/a%20b?q=1&r");
+            assertEquals(message.offering(), "render");
+            assertEquals(message.id(), "9b1f");
+            assertEquals(message.mark(), "5c0f");
+            assertEquals(message.routeKey(), "7f3a");
+            assertEquals(message.tenant(), "t");
+            assertEquals(message.timeout(), 0.48);
+            assertEquals(message.hint(), 0.012);
+            assertEquals(message.slots(), 2.0);
+            assertEquals(message.memory(), 1.5);
+            assertTrue(message.repeated() && message.keepsOpen());
+            assertEquals(new String(message.body(), StandardCharsets.UTF_8), "hello");
+        }
+    }
+
+    /** Guards against what one message left behind showing up in the next. */
+    @Test
+    public void decodesOneAfterTheOther() throws BadMessage {
+        ClientDecoder decoder = new ClientDecoder();
+        ByteBuffer two = bytes(POST + "GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        decoder.decode(two);
+        ClientMessage second = decoder.decode(two);
+        assertEquals(second.method() + second.path(), "GET/healthz");
+        assertNull(second.id());
+        assertTrue(Double.isNaN(second.timeout()) && Double.isNaN(second.hint()));
+        assertFalse(second.repeated() || second.keepsOpen());
+        assertEquals(second.body().length, 0);
+    }
+
+    @DataProvider
+    public Object[][] bad() {
+        return new Object[][] {
+            {"\u0001\u0002\u0003 nonsense\r\n\r\n", 400},
+            {"POST /render HTTP/1.1\r\nX-Timeout 3\r\n\r\n", 400},
+            {"POST /render HTTP/1.1\r\nHost: a\r\nContent-Length: many\r\n\r\n", 400},
+            {POST.replace("0.480", "soon"), 400},
+            {POST.replace("0.480", "-1"), 400},
+            {POST.replace("0.480", "Infinity"), 400},
+            {POST.replace("slots=2", "slots"), 400},
+            {POST.replace("slots=2", "slots=two"), 400},
+            {CHUNKED.replace("\r\n2\r\n", "\r\nzz\r\n"), 400},
+            {POST.replace("Content-Length: 5", "Content-Length: 65537"), 413},
+            {CHUNKED.replace("2\r\nhe\r\n", "20000\r\n" + "x".repeat(0x20000) + "\r\n"), 413},
+            {POST.replace("9b1f", "9".repeat(9000)), 431},
+            {POST.replace("q=1", "q=" + "1".repeat(9000)), 431},
+        };
+    }
+
+    @Test(dataProvider = "bad")
+    public void refusesWithTheRightStatus(String text, int status) {
+        assertEquals(expectThrows(BadMessage.class, () -> {
+            ClientDecoder decoder = new ClientDecoder();
+            ByteBuffer in = bytes(text);
+            while (in.hasRemaining()) {
+                ByteBuffer piece = in.slice(in.position(), Math.min(1000, in.remaining()));
+                in.position(in.position() + piece.remaining());
+                decoder.decode(piece);
+            }
+        }).status(), status);
+    }
+
+    @DataProvider
+    public Object[][] answers() {
+        return new Object[][] {
+            {ClientAnswer.fulfilled("ok".getBytes(StandardCharsets.UTF_8)), false,
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+            {ClientAnswer.bounced(0.0401), true, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.041\r\n"
+                + "Connection: close\r\nContent-Length: 24\r\n\r\nbounced: a retry is safe\n"},
+            {ClientAnswer.bounced(0), false, "HTTP/1.1 503 Service Unavailable\r\n"
+                + "Content-Length: 24\r\n\r\nbounced: a retry is safe\n"},
+            {ClientAnswer.scrapped(), false, "HTTP/1.1 502 Bad Gateway\r\n"
+                + "Content-Length: 25\r\n\r\nscrapped: it may have run\n"},
+        };
+    }
+
+    @Test(dataProvider = "answers")
+    public void encodesAnswers(ClientAnswer answer, boolean last, String expected) {
+        String text = StandardCharsets.UTF_8.decode(answer.encode(last)).toString();
+        assertEquals(text.replaceAll("Content-Length: \\d+", ""), expected.replaceAll("Content-Length: \\d+", ""));
+        String body = text.substring(text.indexOf("\r\n\r\n") + 4);
+        assertTrue(text.contains("Content-Length: " + body.length() + "\r\n"), text);
+    }
+}
--- /dev/null
+++ b/src/test/java/wheelroute/net/list/WorkerListTest.java
@@ -0,0 +1,63 @@
+package wheelroute.net.list;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.decision.Listing;
+
+/** Discovery's answers, and what is none. */
+public class WorkerListTest {
+    private static final String ENTRY = "{'id':'s-5b','addr':'127.1.0.18:8081','zone':'a','kind':'m2','cell':3,"
+            + "'state':'ready','weight':1.5,'started_ms':1500,'new':[{}]}";
+    private static final String LIST = "{'version':41,'full':true,'later':{'a':[1]},'servers':[" + ENTRY + "]}";
+
+    private static WorkerList decode(String json) throws IOException {
+        return WorkerList.decode(json.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    public void decodesAnEntry() throws IOException {
+        WorkerList list = decode(LIST);
+        assertTrue(list.whole());
+        assertEquals(list.version(), 41);
+        WorkerList.Entry entry = list.entries().get(0);
+        assertEquals(entry.id() + entry.zone() + entry.kind() + entry.cell(), "s-5bam23");
+        assertEquals(entry.address().getPort(), 8081);
+        assertEquals(entry.weight(), 1.5);
+        assertEquals(entry.startedAt(), 1.5);
+    }
+
+    @DataProvider
+    public Object[][] states() {
+        return new Object[][] {
+            {"ready", Listing.Readiness.ACTIVE}, {"draining", Listing.Readiness.LEAVING},
+            {"gone", Listing.Readiness.GONE}, {"resting", Listing.Readiness.LEAVING},
+        };
+    }
+
+    @Test(dataProvider = "states")
+    public void decodesStates(String state, Listing.Readiness readiness) throws IOException {
+        assertEquals(decode(LIST.replace("ready", state)).entries().get(0).readiness(), readiness);
+        assertTrue(Double.isNaN(decode(LIST.replace("1500", "0")).entries().get(0).startedAt()));
+    }
+
+    @DataProvider
+    public Object[][] nonsense() {
+        return new Object[][] {
+            {""}, {"[]"}, {"{}"}, {"hello"}, {LIST.substring(0, 100)}, {LIST.replace("41", "'new'")},
+            {LIST.replace("'version':41,", "")}, {LIST.replace(ENTRY, "7")}, {LIST.replace("[" + ENTRY + "]", "{}")},
+            {LIST.replace("127.1.0.18:8081", "somewhere")}, {LIST.replace("'state':'ready',", "")},
+            {LIST.replace("'id':'s-5b',", "")}, {LIST.replace("'cell':3", "'cell':'three'")},
+        };
+    }
+
+    @Test(dataProvider = "nonsense")
+    public void refusesWhatIsNoList(String json) {
+        assertThrows(IOException.class, () -> decode(json));
+    }
+}
