Full is told, not suffered: idle clients make room, want of room is no worker's fault

Checked by reading and by tests on sockets, each against a way to lose what was taken: a client over the bound got its 503 before it had asked; one that sent far ahead of its turn was cut off with its answer under way; a connection could be used again though the worker had ended it a moment before; a body's buffer stayed with its connection; no descriptor left counted as a failed connect, which put worker after worker on probation. Lines at fault: ClientConnection.onOpen and read, WorkerConnection.isUsable and complete, End.outcome.

--- a/src/main/java/wheelroute/net/End.java
+++ b/src/main/java/wheelroute/net/End.java
@@ -42,10 +42,11 @@
             case FAILED, ODD_STATUS -> Outcome.ERRED;
             case RETURNED, TURNED_AWAY -> Outcome.TURNED_AWAY;
             case LOST, BROKE, NONSENSE -> Outcome.BROKEN_OFF;
-            case REFUSED, NEVER_UP, NO_ROOM, BROKE_UNSENT -> Outcome.UNCONNECTED;
+            case REFUSED, NEVER_UP, BROKE_UNSENT -> Outcome.UNCONNECTED;
             case CALLED_OFF -> Outcome.CANCELLED;
             case TIMED_OUT -> Outcome.TIMED_OUT;
-            case ENDED_UNSENT -> Outcome.NEVER_SENT;
+            // Want of room is ours: held against a worker it would put one after the other on probation.
+            case ENDED_UNSENT, NO_ROOM -> Outcome.NEVER_SENT;
         };
     }
 }
--- a/src/main/java/wheelroute/net/Loop.java
+++ b/src/main/java/wheelroute/net/Loop.java
@@ -31,8 +31,8 @@
  * that nothing above needs a lock and the order of events is the order in which they came.
  */
 public final class Loop {
-    /** The largest read at once: over a body and its headers, so that most messages come in one. */
-    private static final int READ_BUFFER = 80 * 1024;
+    /** The largest read at once: most messages come in one, and a client may have one such read ahead. */
+    private static final int READ_BUFFER = 32 * 1024;
     /** Connections waiting to be accepted: a burst of clients must not be refused by the kernel. */
     private static final int BACKLOG = 512;
     private static final double MILLIS = 1e3;
@@ -72,6 +72,7 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(
             Comparator.comparingDouble((Timer t) -> t.due).thenComparingLong(t -> t.number));
     private final ByteBuffer readBuffer = BufferUtil.allocateDirect(READ_BUFFER);
+    private final ByteBuffer peekBuffer = BufferUtil.allocate(1);
     private long lastTimer;
     private Thread thread;
     private volatile Selector selector;
@@ -116,6 +117,12 @@
         return readBuffer;
     }
 
+    /** Empty, with room for a byte: for connections on which nothing should come. */
+    public ByteBuffer peekBuffer() {
+        BufferUtil.clear(peekBuffer);
+        return peekBuffer;
+    }
+
     /** Never fails at once: whoever connects may be in the middle of a decision. */
     public void connect(InetSocketAddress address, Peer peer) {
         SocketChannel channel = null;
--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -10,8 +10,6 @@
 
 /** One client's connection: one submission at a time, the next once it is answered. */
 final class ClientConnection extends AbstractConnection implements Submitters.Answers {
-    /** Sent ahead of an answer no more than one largest message may wait here. */
-    private static final int MOST_AHEAD = ClientDecoder.MOST_BODY + ClientDecoder.MOST_HEAD;
     /** How long a closing connection swallows what still comes: a reset would take the answer with it. */
     private static final double LINGER = 1;
 
@@ -23,6 +21,8 @@
     private boolean lastMessage;
     private boolean begun;
     private boolean lingering;
+    private boolean turnedAway;
+    /** What came before its turn, one read at most: nothing more is read until the answer is out. */
     private ByteBuffer ahead;
 
     ClientConnection(EndPoint endPoint, Loop loop, Clients clients) {
@@ -34,20 +34,16 @@
     @Override
     public void onOpen() {
         super.onOpen();
-        if (clients.opened(this)) {
+        turnedAway = !clients.opened(this);
+        if (getEndPoint().isOpen()) {
             fillInterested();
-        } else {
-            // Nothing is taken; the client may try another dispatcher at once.
-            lastMessage = true;
-            waiting = true;
-            answer(ClientAnswer.bounced(0));
         }
     }
 
     @Override
     public void onFillable() {
         try {
-            while (getEndPoint().isOpen()) {
+            while (getEndPoint().isOpen() && ahead == null) {
                 ByteBuffer in = loop.readBuffer();
                 int got = getEndPoint().fill(in);
                 if (got < 0) {
@@ -75,16 +71,7 @@
 
     private void read(ByteBuffer in) {
         if (waiting) {
-            int had = ahead == null ? 0 : ahead.remaining();
-            if (had + in.remaining() > MOST_AHEAD) {
-                ended();
-                return;
-            }
-            ByteBuffer more = ByteBuffer.allocate(had + in.remaining());
-            if (had > 0) {
-                more.put(ahead);
-            }
-            ahead = more.put(in).flip();
+            ahead = ByteBuffer.allocate(in.remaining()).put(in).flip();
             return;
         }
         try {
@@ -109,6 +96,7 @@
     }
 
     private void handle(ClientMessage message) {
+        clients.heard(this);
         if (message.method().equals("GET")) {
             answer(switch (message.path()) {
                 case "/healthz" -> clients.health();
@@ -117,7 +105,12 @@
             });
             return;
         }
-        if (!message.method().equals("POST")) {
+        if (turnedAway) {
+            // Nothing is taken; the client may try another dispatcher at once.
+            clients.notTaken();
+            lastMessage = true;
+            answer(ClientAnswer.bounced(0));
+        } else if (!message.method().equals("POST")) {
             clients.notTaken();
             answer(ClientAnswer.of(HttpStatus.NOT_FOUND_404, "submissions come by POST"));
         } else if (message.id() == null || message.id().isEmpty() || !(message.timeout() > 0)) {
@@ -153,11 +146,15 @@
             ByteBuffer next = ahead;
             ahead = null;
             read(next);
+            if (ahead == null && getEndPoint().isOpen() && !isFillInterested()) {
+                fillInterested();
+            }
         }
     }
 
     private void linger() {
         lingering = true;
+        ahead = null;
         getEndPoint().shutdownOutput();
         loop.later(LINGER, this::close);
         if (!isFillInterested() && getEndPoint().isOpen()) {
@@ -180,15 +177,21 @@
         }
     }
 
-    /** A client may wait for its answer for as long as its outer limit; only idle connections expire. */
+    /** A client may wait for its answer for as long as its outer limit; who does not read it, may not. */
     @Override
     public boolean onIdleExpired(TimeoutException timeout) {
-        if (!waiting) {
+        if (taken == null) {
             close();
         }
         return false;
     }
 
+    @Override
+    public void close() {
+        clients.closed(this);
+        super.close();
+    }
+
     @Override
     public void onClose(Throwable cause) {
         super.onClose(cause);
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -21,7 +21,7 @@
 
     private final HttpParser parser = new HttpParser(this, MOST_HEAD);
     private final Map<String, String> fields = new HashMap<>();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private String method;
     private String target;
     private boolean keepsOpen;
@@ -47,6 +47,8 @@
         ClientMessage message = message();
         complete = false;
         parser.reset();
+        // Many connections stay open and idle: none may hold on to the largest body that it has seen.
+        body = new ByteArrayOutputStream(0);
         return message;
     }
 
@@ -95,7 +97,6 @@
         target = newTarget;
         keepsOpen = version == HttpVersion.HTTP_1_1;
         fields.clear();
-        body.reset();
     }
 
     @Override
@@ -113,6 +114,9 @@
             fault = new BadMessage(HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is over " + MOST_BODY);
             return true;
         }
+        if (parser.getContentLength() > 0) {
+            body = new ByteArrayOutputStream((int) parser.getContentLength());
+        }
         return false;
     }
 
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -45,9 +45,6 @@
 
     @Override
     public Connection opened(EndPoint endPoint) {
-        if (open.size() >= most + MOST_TURNED_AWAY) {
-            endPoint.close();
-        }
         endPoint.setIdleTimeout(IDLE_MILLIS);
         return new ClientConnection(endPoint, loop, this);
     }
@@ -57,13 +54,26 @@
         // An accepted connection that broke at once: nothing was taken on it.
     }
 
-    /** False when it is one too many. */
+    /** False when it is one too many, and none that is idle can make room. */
     boolean opened(ClientConnection connection) {
         counters.count(Counters.Kind.CLIENTS_OPENED);
+        if (open.size() >= most) {
+            open.stream().filter(ClientConnection::isIdle).findFirst().ifPresent(ClientConnection::close);
+        }
         open.add(connection);
+        if (open.size() > most + MOST_TURNED_AWAY) {
+            connection.close();
+        }
         return open.size() <= most;
     }
 
+    /** Keeps the open ones in the order in which they last spoke: who has been idle longest makes room first. */
+    void heard(ClientConnection connection) {
+        if (open.remove(connection)) {
+            open.add(connection);
+        }
+    }
+
     void closed(ClientConnection connection) {
         open.remove(connection);
     }
--- a/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -28,8 +28,10 @@
 
     /** Short enough that a dead discovery is noticed before what it could not tell counts as told. */
     private static final int HOLD_MILLIS = 5000;
-    /** An answer this long after its hold is over will not come: after 2 s its news would count as told. */
+    /** An answer this long after its hold is over is given up: after 2 s its news would count as told. */
     private static final double SILENCE = 1.5;
+    /** A call that holds nothing may still wait its turn at discovery, and has 6 s before its news count. */
+    private static final double WHOLE_SILENCE = 3;
     /** The largest list that is read: some thousands of workers, and yet a bound. */
     private static final int MOST_LIST = 1 << 20;
     private static final double MILLIS = 1e3;
@@ -59,16 +61,16 @@
         if (call == null) {
             call = new Call();
             loop.connect(address, call);
-            waitFor(0);
+            waitFor(WHOLE_SILENCE);
         }
     }
 
-    private void waitFor(double hold) {
+    private void waitFor(double limit) {
         if (silence != null) {
             silence.cancel();
         }
         Call current = call;
-        silence = loop.later(hold + SILENCE, () -> failed(current, "silence"));
+        silence = loop.later(limit, () -> failed(current, "silence"));
     }
 
     private void failed(Call which, String why) {
@@ -125,7 +127,7 @@
             }
             counters.count(Counters.Kind.LIST_CALLS);
             String target = "/v1/servers" + (wantsWhole ? "" : "?from=" + version + "&hold_ms=" + HOLD_MILLIS);
-            waitFor(wantsWhole ? 0 : HOLD_MILLIS / MILLIS);
+            waitFor(wantsWhole ? WHOLE_SILENCE : HOLD_MILLIS / MILLIS + SILENCE);
             endPoint.write(Callback.from(() -> { }, cause -> loop.post(() -> failed(cause))),
                     new HttpText("GET " + target + " HTTP/1.1")
                     .field("Host", address.getHostString() + ":" + address.getPort()).noBody());
--- a/src/main/java/wheelroute/net/workers/LaunchDecoder.java
+++ b/src/main/java/wheelroute/net/workers/LaunchDecoder.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpStatus;
 import wheelroute.net.AnswerParser;
@@ -27,7 +28,7 @@
     private static final byte[] NO_RESULT = {};
 
     private final AnswerParser parser = new AnswerParser(this);
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private ByteArrayOutputStream line = new ByteArrayOutputStream();
     private final Hearer hearer;
     private String id;
     private boolean inLines;
@@ -86,8 +87,9 @@
 
     private void endLine() throws IOException {
         byte[] bytes = line.toByteArray();
-        line.reset();
-        if (over || new String(bytes, java.nio.charset.StandardCharsets.UTF_8).isBlank()) {
+        // Anew, for a connection must not hold on to the longest line that it has seen.
+        line = new ByteArrayOutputStream();
+        if (over || new String(bytes, StandardCharsets.UTF_8).isBlank()) {
             return;
         }
         WorkerNote note = WorkerNote.decode(bytes, bytes.length);
--- a/src/main/java/wheelroute/net/workers/Station.java
+++ b/src/main/java/wheelroute/net/workers/Station.java
@@ -43,6 +43,7 @@
                 next.send(flight);
                 return;
             }
+            next.close();
         }
         if (workers.mayOpen()) {
             workers.opening();
--- a/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -40,8 +40,13 @@
                 next.message.encode(station.host(), limit));
     }
 
+    /** Looks for an end that has come but was not told yet: a launch written after it may count as run. */
     boolean isUsable() {
-        return !busy && getEndPoint().isOpen();
+        try {
+            return !busy && getEndPoint().isOpen() && getEndPoint().fill(loop.peekBuffer()) == 0;
+        } catch (IOException e) {
+            return false;
+        }
     }
 
     @Override
@@ -104,7 +109,7 @@
 
     @Override
     public void complete(boolean keepsOpen) {
-        if (!keepsOpen) {
+        if (!keepsOpen || !flight.isWritten()) {
             close();
         } else if (getEndPoint().isOpen()) {
             flight = null;
