--- a/src/main/java/wheelroute/net/Exchanges.java
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -24,10 +24,11 @@
 /** Drives the decisions: every event is one turn, and what a turn brings about waits for the next. */
 final class Exchanges implements Dispatcher, Submitters, ListWatch.Hearer {
     /**
-     * Kept back of what a client says it will wait: the message was on its way for a part of that, and the
-     * answer must still reach it.
+     * Kept back of what a client says it will wait, but no more than that part of it: on a busy core the
+     * message may have lain unread for tens of milliseconds, and the answer must still reach the client.
      */
-    private static final double ANSWER_MARGIN = 0.03;
+    private static final double ANSWER_MARGIN = 0.08;
+    private static final double ANSWER_MARGIN_PART = 0.1;
     private static final Logger LOG = LoggerFactory.getLogger(Exchanges.class);
 
     private final Loop loop;
@@ -111,9 +112,10 @@
         }
         // Tenants without a share need no name of their own: a client must not fill memory with names.
         Ids.Tenant tenant = tenants.getOrDefault(message.tenant(), new Ids.Tenant(""));
+        double margin = Math.min(ANSWER_MARGIN, ANSWER_MARGIN_PART * message.timeout());
         Submission submission = new Submission(new Ids.Submission(++lastSubmission), offering, tenant,
-                loop.now() + message.timeout() - ANSWER_MARGIN, message.hint(), message.slots(),
-                message.memory(), message.repeated());
+                loop.now() + message.timeout() - margin, message.hint(), message.slots(), message.memory(),
+                message.repeated());
         Exchange exchange = new Exchange(this, loop, submission, message, answers);
         open.put(submission.id(), exchange);
         counters.count(Counters.Kind.TAKEN);
--- a/src/main/java/wheelroute/net/Service.java
+++ b/src/main/java/wheelroute/net/Service.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wheelroute.config.Config;
+import wheelroute.config.ConfigException;
 import wheelroute.net.clients.Clients;
 import wheelroute.net.list.ListWatch;
 import wheelroute.net.list.WorkerList;
@@ -13,9 +15,11 @@
 
 /** One dispatcher on sockets: its parts put together, started, and brought to an end. */
 public final class Service {
-    /** Parts of the descriptors for clients and for workers; the rest is the runtime's own and slack. */
-    private static final double CLIENTS_PART = 0.45;
-    private static final double WORKERS_PART = 0.4;
+    /** Descriptors of the runtime: its archives, the selector, the listening socket, discovery; and slack. */
+    private static final int OWN_SOCKETS = 40;
+    /** Of the others, for clients and for workers; the rest are connections on their way out. */
+    private static final double CLIENTS_PART = 0.5;
+    private static final double WORKERS_PART = 0.42;
     /** New connections go on coming so long after the signal to end. */
     private static final double STILL_LISTENING = 0.45;
     /** All that was taken is answered within this, or within the longest outer limit if that is less. */
@@ -37,7 +41,7 @@
     public Service(Config config) {
         this.config = config;
         loop = new Loop(new Clock(), config.connectLimit());
-        workers = new Workers(loop, counters, (int) (WORKERS_PART * config.sockets()), config.idleLimit());
+        workers = new Workers(loop, counters, part(WORKERS_PART), config.idleLimit());
     }
 
     /** Returns once clients are listened to. */
@@ -48,28 +52,49 @@
             try {
                 assemble();
                 listening.complete(null);
-            } catch (IOException | RuntimeException e) {
+            } catch (ConfigException | RuntimeException e) {
                 listening.completeExceptionally(e);
             }
         });
-        listening.get();
+        try {
+            listening.get();
+        } catch (ExecutionException e) {
+            loop.stop();
+            throw e.getCause() instanceof ConfigException fault ? fault : e;
+        }
     }
 
-    private void assemble() throws IOException {
+    private void assemble() throws ConfigException {
         exchanges = new Exchanges(loop, counters, workers, config.settings());
         long version = -1;
         if (config.known() != null) {
-            WorkerList known = WorkerList.decode(config.known());
+            WorkerList known = known();
             version = known.version();
             exchanges.listed(known, true);
         }
         exchanges.watch(new ListWatch(loop, config.discovery(), counters, exchanges, version));
-        clients = new Clients(loop, exchanges, counters, (int) (CLIENTS_PART * config.sockets()));
+        clients = new Clients(loop, exchanges, counters, part(CLIENTS_PART));
         exchanges.clients(clients);
-        clients.listen(config.listen());
+        try {
+            clients.listen(config.listen());
+        } catch (IOException e) {
+            throw new ConfigException("listen", "cannot be used: " + e.getMessage());
+        }
         LOG.info("{} listens on {}", config.name(), config.listen());
     }
 
+    private WorkerList known() throws ConfigException {
+        try {
+            return WorkerList.decode(config.known());
+        } catch (IOException e) {
+            throw new ConfigException("known", "is no list of workers: " + e.getMessage());
+        }
+    }
+
+    private int part(double part) {
+        return (int) (part * (config.sockets() - OWN_SOCKETS));
+    }
+
     public int port() {
         return clients.port();
     }
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -102,7 +102,7 @@
     @Override
     public void parsedHeader(HttpField field) {
         String name = field.getName().toLowerCase(Locale.ROOT);
-        fields.put(name, field.getValue());
+        fields.put(name, field.getValue() == null ? "" : field.getValue());
         if (name.equals("connection") && field.contains("close")) {
             keepsOpen = false;
         }
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -15,8 +15,8 @@
 
 /** The client side: the listening socket and the connections accepted on it, of which there is a bound. */
 public final class Clients implements Loop.Peer {
-    /** Beyond the bound so many more are told to go away, each for a moment; past that they are closed. */
-    private static final int MOST_TURNED_AWAY = 32;
+    /** Beyond the bound this part of it more is told to go away, each in a moment; past that they are closed. */
+    private static final double TURNED_AWAY_PART = 0.06;
     /** A connection on which nothing comes for so long is closed: slow senders must not fill the bound. */
     private static final long IDLE_MILLIS = 120_000;
 
@@ -61,7 +61,7 @@
             open.stream().filter(ClientConnection::isIdle).findFirst().ifPresent(ClientConnection::close);
         }
         open.add(connection);
-        if (open.size() > most + MOST_TURNED_AWAY) {
+        if (open.size() > most + 1 + TURNED_AWAY_PART * most) {
             connection.close();
         }
         return open.size() <= most;
--- a/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -193,7 +193,7 @@
                         }
                         parser.parse(in);
                     }
-                } catch (IOException e) {
+                } catch (IOException | RuntimeException e) {
                     ListWatch.this.failed(Call.this, e.getMessage());
                 }
             }
--- a/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -11,6 +11,9 @@
 
 /** One connection to a worker: one launch at a time, idle in between. */
 final class WorkerConnection extends AbstractConnection implements LaunchDecoder.Hearer {
+    /** For the last chunk after a last line: past it the connection is no use, and there may be many such. */
+    private static final double TAIL = 1;
+
     private final Loop loop;
     private final Station station;
     private final LaunchDecoder decoder = new LaunchDecoder(this);
@@ -74,7 +77,7 @@
     private void read(ByteBuffer in) {
         try {
             decoder.decode(in);
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             broke(End.NONSENSE);
         }
     }
@@ -104,7 +107,13 @@
 
     @Override
     public void ended(End end, byte[] result, double freeSlots) {
-        flight.end(end, result, freeSlots);
+        Flight over = flight;
+        loop.later(TAIL, () -> {
+            if (flight == over) {
+                close();
+            }
+        });
+        over.end(end, result, freeSlots);
     }
 
     @Override
--- a/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
+++ b/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
@@ -60,6 +60,7 @@
         ClientMessage second = decoder.decode(two);
         assertEquals(second.method() + second.path(), "GET/healthz");
         assertNull(second.id());
+        assertEquals(decoder.decode(bytes("GET / HTTP/1.1\r\nHost: a\r\nX-Attrs:\r\n\r\n")).slots(), 1.0);
         assertTrue(Double.isNaN(second.timeout()) && Double.isNaN(second.hint()));
         assertFalse(second.repeated() || second.keepsOpen());
         assertEquals(second.body().length, 0);
@@ -74,6 +75,7 @@
             {POST.replace("0.480", "soon"), 400},
             {POST.replace("0.480", "-1"), 400},
             {POST.replace("0.480", "Infinity"), 400},
+            {POST.replace(" 0.480", ""), 400},
             {POST.replace("slots=2", "slots"), 400},
             {POST.replace("slots=2", "slots=two"), 400},
             {CHUNKED.replace("\r\n2\r\n", "\r\nzz\r\n"), 400},
