A discovery that does not hold its calls gets a pause, one that never gives the whole is a failure

Seen in reading ListWatch.take and end: changes in place of a whole list led at once to the next call for it, and so did an empty answer that came at once; with such a discovery the loop would do nothing else. Now 100 ms pass between answers that tell nothing, half of what one watch allows, and changes where the whole was asked for count as a failed call. Test: pausesBetweenAnswersThatTellNothing.

--- a/src/main/cds/record.sh
+++ b/src/main/cds/record.sh
@@ -19,5 +19,5 @@
     [ "$tries" -lt 100 ] && kill -0 "$pid" || break
     sleep 0.1
 done
-kill -TERM "$pid"
+kill -TERM "$pid" || true
 wait "$pid" || true
--- a/src/main/java/wheelroute/net/Counters.java
+++ b/src/main/java/wheelroute/net/Counters.java
@@ -7,7 +7,7 @@
     /** One row a figure: its name, and a label where several figures share the name. */
     public enum Kind {
         TAKEN("submissions_taken_total", ""),
-        NOT_TAKEN("requests_not_taken_total", ""),
+        NOT_TAKEN("messages_not_taken_total", ""),
         LAUNCHED("launches_total", ""),
         FULFILLED("answers_total", "kind=\"fulfilled\""),
         BOUNCED("answers_total", "kind=\"bounced\""),
--- a/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -32,6 +32,8 @@
     private static final double SILENCE = 1.5;
     /** A call that holds nothing may still wait its turn at discovery, and has 6 s before its news count. */
     private static final double WHOLE_SILENCE = 3;
+    /** Half of what may pass between two calls of one watch. */
+    private static final double EARLY_PAUSE = 0.1;
     /** The largest list that is read: some thousands of workers, and yet a bound. */
     private static final int MOST_LIST = 1 << 20;
     private static final double MILLIS = 1e3;
@@ -85,16 +87,23 @@
         hearer.listFailed();
     }
 
-    /** Changes older than what we hold mean that discovery has begun anew: only a whole list can tell. */
-    private void take(byte[] json) throws IOException {
+    /** Takes an answer; true when it told something. */
+    private boolean take(byte[] json) throws IOException {
         WorkerList list = WorkerList.decode(json);
-        if (!list.whole() && (wantsWhole || list.version() < version)) {
-            wantsWhole = true;
-            return;
+        if (!list.whole()) {
+            if (wantsWhole) {
+                throw new IOException("changes where the whole list was asked for");
+            }
+            // Changes older than what we hold mean that discovery has begun anew: only a whole list can tell.
+            wantsWhole = list.version() < version;
+            if (wantsWhole) {
+                return true;
+            }
         }
         version = list.version();
         wantsWhole = false;
         hearer.listed(list);
+        return list.whole() || !list.entries().isEmpty();
     }
 
     /** One connection to discovery, and the calls made on it. */
@@ -102,6 +111,7 @@
         private final AnswerParser parser = new AnswerParser(this);
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private EndPoint endPoint;
+        private double askedAt;
 
         @Override
         public Connection opened(EndPoint opened) {
@@ -126,6 +136,7 @@
                 return;
             }
             counters.count(Counters.Kind.LIST_CALLS);
+            askedAt = loop.now();
             String target = "/v1/servers" + (wantsWhole ? "" : "?from=" + version + "&hold_ms=" + HOLD_MILLIS);
             waitFor(wantsWhole ? WHOLE_SILENCE : HOLD_MILLIS / MILLIS + SILENCE);
             endPoint.write(Callback.from(() -> { }, cause -> loop.post(() -> failed(cause))),
@@ -153,7 +164,21 @@
 
         @Override
         public void end(boolean keepsOpen) throws IOException {
-            take(body.toByteArray());
+            boolean told = take(body.toByteArray());
+            boolean early = loop.now() - askedAt < HOLD_MILLIS / MILLIS / 2;
+            if (!told && early) {
+                // Guards against a discovery that does not hold: calls without a pause would be all it does.
+                silence.cancel();
+                loop.later(EARLY_PAUSE, () -> next(keepsOpen));
+            } else {
+                next(keepsOpen);
+            }
+        }
+
+        private void next(boolean keepsOpen) {
+            if (call != this) {
+                return;
+            }
             if (keepsOpen) {
                 ask();
             } else {
--- a/src/test/java/wheelroute/net/ServiceTest.java
+++ b/src/test/java/wheelroute/net/ServiceTest.java
@@ -400,6 +400,7 @@
             {fresh.replace("HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nConnection: close"),
                 "/v1/servers?from=7&hold_ms=5000"},
             {http(text.replace("7", "3")), "/v1/servers"},
+            {http(text.replace("7", "5")), "/v1/servers?from=5&hold_ms=5000"},
             {http(text.replace("false", "true")), "/v1/servers?from=7&hold_ms=5000"},
             {http("nonsense"), "/v1/servers?from=5&hold_ms=5000"},
             {"nonsense\r\n\r\n", "/v1/servers?from=5&hold_ms=5000"},
@@ -422,6 +423,23 @@
         assertEquals(discovery.next(), "GET " + call + " HTTP/1.1");
     }
 
+    /** Guards against a hot loop between us and a discovery that neither holds calls nor gives whole lists. */
+    @Test(timeOut = PATIENCE)
+    public void pausesBetweenAnswersThatTellNothing() throws Exception {
+        String nothing = http("{\"version\":5,\"full\":false,\"servers\":[]}");
+        discovery.answers.addAll(List.of(nothing, nothing, nothing, http("{\"version\":1,\"full\":false,"
+                + "\"servers\":[]}"), nothing));
+        long before = System.nanoTime();
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        for (int i = 0; i < 4; i++) {
+            assertTrue(discovery.next().contains("?from=5"));
+        }
+        assertTrue((System.nanoTime() - before) / 1e9 > 0.3);
+        assertEquals(discovery.next(), "GET /v1/servers HTTP/1.1");
+        assertEquals(discovery.next(), "GET /v1/servers HTTP/1.1");
+        assertEquals(metric("list_failures_total"), 1);
+    }
+
     /** Without a remembered list the whole is asked for, and used. */
     @Test(timeOut = PATIENCE)
     public void launchesByTheListAlone() throws Exception {
