--- a/src/main/java/wheelroute/Main.java
+++ b/src/main/java/wheelroute/Main.java
@@ -23,7 +23,7 @@
             case "adapter" -> adapter();
             case "serve" -> serve();
             default -> {
-                System.err.println("usage: wheelroute adapter    read the wire on standard input, act on output\n"
+                System.err.println("usage: wheelroute adapter    the wire on standard input and output\n"
                         + "       wheelroute serve      dispatch on sockets, by LB_* and the file LB_CONFIG");
                 System.exit(BAD_USAGE);
             }
@@ -41,7 +41,7 @@
     }
 
     private static void serve() {
-        // Before the first logger: the usual manager drops its handlers as soon as the process is told to end.
+        // Before the first logger: the usual manager drops its handlers once the process is told to end.
         System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
         try {
             Service service = new Service(ConfigReader.read(System.getenv()));
--- a/src/main/java/wheelroute/config/SettingsReader.java
+++ b/src/main/java/wheelroute/config/SettingsReader.java
@@ -9,7 +9,7 @@
 import wheelroute.decision.Ids;
 import wheelroute.decision.Settings;
 
-/** The settings' path=value pairs, in our words, for the adapter and the service alike. Other keys are skipped. */
+/** The settings' path=value pairs, in our words, for adapter and service alike. Other keys are skipped. */
 public final class SettingsReader {
     private static final double MICROS = 1e6;
     private static final String CLASSES = "request_classes.";
--- a/src/main/java/wheelroute/net/AnswerParser.java
+++ b/src/main/java/wheelroute/net/AnswerParser.java
@@ -2,16 +2,13 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
 
-/** The answers on a connection of ours, in whatever pieces they come: status, fields, then the body's pieces. */
-public final class AnswerParser implements HttpParser.ResponseHandler {
+/** The answers on a connection of ours, in whatever pieces they come: status, fields, the body's pieces. */
+public final class AnswerParser extends MessageReader implements HttpParser.ResponseHandler {
     /** What is told of an answer. Any of them may refuse it. */
     public interface Reader {
         void head(int status, Map<String, String> fields) throws IOException;
@@ -27,10 +24,7 @@
 
     private final HttpParser parser = new HttpParser(this, MOST_HEAD);
     private final Reader reader;
-    private final Map<String, String> fields = new HashMap<>();
     private int status;
-    private boolean keepsOpen;
-    private boolean complete;
     private IOException fault;
 
     public AnswerParser(Reader reader) {
@@ -43,17 +37,16 @@
             try {
                 parser.parseNext(in);
             } catch (RuntimeException e) {
-                // Some nonsense is told so, the rest as a bad message: neither may end more than its connection.
+                // Some nonsense is told so, the rest as a bad message: neither ends more than its connection.
                 throw new IOException("no HTTP answer", e);
             }
             if (fault != null) {
                 throw fault;
             }
-            if (complete) {
-                complete = false;
+            if (takeComplete()) {
                 parser.reset();
                 if (status >= FIRST_FINAL_STATUS) {
-                    reader.end(keepsOpen && !in.hasRemaining());
+                    reader.end(keepsOpen() && !in.hasRemaining());
                 }
             }
         }
@@ -66,8 +59,7 @@
         if (fault != null) {
             throw fault;
         }
-        if (complete) {
-            complete = false;
+        if (takeComplete()) {
             reader.end(false);
         }
     }
@@ -88,17 +80,7 @@
     @Override
     public void startResponse(HttpVersion version, int newStatus, String reason) {
         status = newStatus;
-        keepsOpen = version == HttpVersion.HTTP_1_1;
-        fields.clear();
-    }
-
-    @Override
-    public void parsedHeader(HttpField field) {
-        String name = field.getName().toLowerCase(Locale.ROOT);
-        fields.put(name, field.getValue() == null ? "" : field.getValue());
-        if (name.equals("connection") && field.contains("close")) {
-            keepsOpen = false;
-        }
+        begin(version);
     }
 
     @Override
@@ -111,17 +93,6 @@
         return refused(() -> reader.piece(piece));
     }
 
-    @Override
-    public boolean contentComplete() {
-        return false;
-    }
-
-    @Override
-    public boolean messageComplete() {
-        complete = true;
-        return true;
-    }
-
     @Override
     public void earlyEOF() {
         fault = new IOException("the answer ends early");
--- a/src/main/java/wheelroute/net/Loop.java
+++ b/src/main/java/wheelroute/net/Loop.java
@@ -26,9 +26,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The one thread on which all is done: sockets, timers and what is posted from outside. Jetty's selector would
- * hand its work to a pool; here its executor and its scheduler both lead back to the selector's own thread, so
- * that nothing above needs a lock and the order of events is the order in which they came.
+ * The one thread on which all is done: sockets, timers and what is posted from outside. Jetty's selector
+ * would hand its work to a pool; here its executor and its scheduler both lead back to the selector's own
+ * thread, so that nothing above needs a lock and the order of events is the order in which they came.
  */
 public final class Loop {
     /** The largest read at once: most messages come in one, and a client may have one such read ahead. */
@@ -219,7 +219,8 @@
                     if (now || left <= 0) {
                         return s.selectNow();
                     }
-                    return left == Double.POSITIVE_INFINITY ? s.select() : s.select((long) (left * MILLIS) + 1);
+                    return left == Double.POSITIVE_INFINITY ? s.select()
+                            : s.select((long) (left * MILLIS) + 1);
                 }
             };
         }
--- a/src/main/java/wheelroute/net/clients/ClientAnswer.java
+++ b/src/main/java/wheelroute/net/clients/ClientAnswer.java
@@ -14,7 +14,8 @@
     }
 
     public static ClientAnswer bounced(double retryAfter) {
-        return new ClientAnswer(HttpStatus.SERVICE_UNAVAILABLE_503, retryAfter, text("bounced: a retry is safe\n"));
+        return new ClientAnswer(HttpStatus.SERVICE_UNAVAILABLE_503, retryAfter,
+                text("bounced: a retry is safe\n"));
     }
 
     public static ClientAnswer scrapped() {
--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -134,8 +134,9 @@
             return;
         }
         boolean last = lastMessage || clients.isDraining();
-        getEndPoint().write(Callback.from(() -> loop.post(() -> answered(last)), cause -> loop.post(this::ended)),
-                answer.encode(last));
+        Callback written = Callback.from(() -> loop.post(() -> answered(last)),
+                cause -> loop.post(this::ended));
+        getEndPoint().write(written, answer.encode(last));
     }
 
     private void answered(boolean last) {
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -3,16 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
+import wheelroute.net.MessageReader;
 
 /** Decodes one client connection's bytes, in whatever pieces they come. */
-public final class ClientDecoder implements HttpParser.RequestHandler {
+public final class ClientDecoder extends MessageReader implements HttpParser.RequestHandler {
     /** The protocol's limit on bodies. */
     static final int MOST_BODY = 64 * 1024;
     /** Far more than the protocol's headers need, and bounded: many clients share little memory. */
@@ -20,32 +19,28 @@
     private static final double MICROS = 1e6;
 
     private final HttpParser parser = new HttpParser(this, MOST_HEAD);
-    private final Map<String, String> fields = new HashMap<>();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private String method;
     private String target;
-    private boolean keepsOpen;
-    private boolean complete;
     private BadMessage fault;
 
     /** The next message, or null when more bytes are wanted; what follows it stays in the buffer. */
     public ClientMessage decode(ByteBuffer in) throws BadMessage {
-        while (!complete && fault == null && in.hasRemaining()) {
+        while (!isComplete() && fault == null && in.hasRemaining()) {
             try {
                 parser.parseNext(in);
             } catch (RuntimeException e) {
-                // Some nonsense is told so, the rest as a bad message: neither may end more than its connection.
+                // Some nonsense is told so, the rest as a bad message: neither ends more than its connection.
                 throw new BadMessage(HttpStatus.BAD_REQUEST_400, "no HTTP message");
             }
         }
         if (fault != null) {
             throw fault;
         }
-        if (!complete) {
+        if (!takeComplete()) {
             return null;
         }
         ClientMessage message = message();
-        complete = false;
         parser.reset();
         // Many connections stay open and idle: none may hold on to the largest body that it has seen.
         body = new ByteArrayOutputStream(0);
@@ -60,7 +55,7 @@
                 number("x-timeout", fields.get("x-timeout"), Double.NaN),
                 number("x-cost", fields.get("x-cost"), Double.NaN) / MICROS,
                 number("slots", attrs.get("slots"), 1), number("memory", attrs.get("memory"), 0),
-                "1".equals(fields.get("x-retried")), keepsOpen, body.toByteArray());
+                "1".equals(fields.get("x-retried")), keepsOpen(), body.toByteArray());
     }
 
     private Map<String, String> attrs() throws BadMessage {
@@ -95,17 +90,7 @@
     public void startRequest(String newMethod, String newTarget, HttpVersion version) {
         method = newMethod;
         target = newTarget;
-        keepsOpen = version == HttpVersion.HTTP_1_1;
-        fields.clear();
-    }
-
-    @Override
-    public void parsedHeader(HttpField field) {
-        String name = field.getName().toLowerCase(Locale.ROOT);
-        fields.put(name, field.getValue() == null ? "" : field.getValue());
-        if (name.equals("connection") && field.contains("close")) {
-            keepsOpen = false;
-        }
+        begin(version);
     }
 
     @Override
@@ -132,17 +117,6 @@
         return false;
     }
 
-    @Override
-    public boolean contentComplete() {
-        return false;
-    }
-
-    @Override
-    public boolean messageComplete() {
-        complete = true;
-        return true;
-    }
-
     @Override
     public void earlyEOF() {
         fault = new BadMessage(HttpStatus.BAD_REQUEST_400, "the message ends early");
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -15,7 +15,7 @@
 
 /** The client side: the listening socket and the connections accepted on it, of which there is a bound. */
 public final class Clients implements Loop.Peer {
-    /** Beyond the bound this part of it more is told to go away, each in a moment; past that they are closed. */
+    /** Beyond the bound this part of it more is told to go away, each in a moment; the rest is closed. */
     private static final double TURNED_AWAY_PART = 0.06;
     /** A connection on which nothing comes for so long is closed: slow senders must not fill the bound. */
     private static final long IDLE_MILLIS = 120_000;
@@ -67,7 +67,7 @@
         return open.size() <= most;
     }
 
-    /** Keeps the open ones in the order in which they last spoke: who has been idle longest makes room first. */
+    /** Keeps the open ones in the order in which they last spoke: the longest idle makes room first. */
     void heard(ClientConnection connection) {
         if (open.remove(connection)) {
             open.add(connection);
--- a/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -137,7 +137,8 @@
             }
             counters.count(Counters.Kind.LIST_CALLS);
             askedAt = loop.now();
-            String target = "/v1/servers" + (wantsWhole ? "" : "?from=" + version + "&hold_ms=" + HOLD_MILLIS);
+            String changes = "?from=" + version + "&hold_ms=" + HOLD_MILLIS;
+            String target = "/v1/servers" + (wantsWhole ? "" : changes);
             waitFor(wantsWhole ? WHOLE_SILENCE : HOLD_MILLIS / MILLIS + SILENCE);
             endPoint.write(Callback.from(() -> { }, cause -> loop.post(() -> failed(cause))),
                     new HttpText("GET " + target + " HTTP/1.1")
--- a/src/main/java/wheelroute/net/list/WorkerList.java
+++ b/src/main/java/wheelroute/net/list/WorkerList.java
@@ -74,7 +74,8 @@
         }
         expect(id != null && readiness != null && (address != null || readiness == Listing.Readiness.GONE),
                 "a worker lacks its id, state or address");
-        return new Entry(id, address, zone, kind, cell, readiness, weight, started > 0 ? started : Double.NaN);
+        return new Entry(id, address, zone, kind, cell, readiness, weight,
+                started > 0 ? started : Double.NaN);
     }
 
     /** A state that this version has no name for is one in which nothing new should come. */
--- a/src/main/java/wheelroute/net/workers/Workers.java
+++ b/src/main/java/wheelroute/net/workers/Workers.java
@@ -10,7 +10,7 @@
 
 /** The worker side: an address for each worker on the list, and a bound on the connections to all of them. */
 public final class Workers {
-    /** A connection is dropped at this part of the worker's own limit: a write that crosses it may have run. */
+    /** A connection is dropped at this part of the worker's own limit: what crosses that may have run. */
     private static final double PART_OF_IDLE = 0.5;
     private static final double MILLIS = 1e3;
 
@@ -28,7 +28,7 @@
         idleMillis = Math.max(1, (long) (PART_OF_IDLE * idleLimit * MILLIS));
     }
 
-    /** A worker as listed, NaN for one up long since; connections from before a restart are not used again. */
+    /** A worker as listed, NaN for one up long since; connections from before a restart are left. */
     public void listed(Ids.Worker worker, InetSocketAddress address, double startedAt) {
         Station station = stations.get(worker);
         if (station == null || !station.isStill(address, startedAt)) {
--- a/src/test/java/wheelroute/ConfigTest.java
+++ b/src/test/java/wheelroute/ConfigTest.java
@@ -22,11 +22,13 @@
 
 /** What a dispatcher is told at its start, read from the environment and its file. */
 public class ConfigTest {
-    private static final String CLASSES = "'request_classes':[{'name':'light','effect':'free','on_time_us':200000,"
-            + "'hard_limit_us':5000000,'worth':2.0},{'name':'alert','effect':'guarded','group':'cell',"
+    private static final String CLASSES = "'request_classes':[{'name':'light','effect':'free',"
+            + "'on_time_us':200000,'hard_limit_us':5000000,'worth':2.0},"
+            + "{'name':'alert','effect':'guarded','group':'cell',"
             + "'hard_limit_us':20000000,'window_us':30000000}]";
-    private static final String SETTINGS = "'settings':{'az':'west','family_info':{'class_stretch':[1.75,2.0],"
-            + "'class_kind':[-1,1],'progress_us':1000000},'models':['fast core','slow'],"
+    private static final String SETTINGS = "'settings':{'az':'west','family_info':{"
+            + "'class_stretch':[1.75,2.0],'class_kind':[-1,1],'progress_us':1000000},"
+            + "'models':['fast core','slow'],"
             + "'permissions':{'cancel':true,'connect_timeout_us':250000,'conn_idle_us':60000000},"
             + "'tenants':[{'name':'t','quota_per_s':28.0}],'later':{'key':[{'a':null}]}," + CLASSES + "}";
     private static final String WHOLE = "{'name':'n3','listen':'127.0.0.4:8081','discovery':'127.0.0.1:8500',"
--- a/src/test/java/wheelroute/net/ServiceTest.java
+++ b/src/test/java/wheelroute/net/ServiceTest.java
@@ -31,13 +31,14 @@
 import wheelroute.decision.Ids;
 import wheelroute.decision.Settings;
 
-/** The whole dispatcher on loopback sockets, between clients, workers and a discovery that do as they are told. */
+/** The whole dispatcher on loopback sockets, among clients, workers and a discovery that do as told. */
 public class ServiceTest {
     private static final int PATIENCE = 20_000;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String STARTED = line("started");
     private static final String DONE = HEAD + STARTED + line("done") + "0\r\n\r\n";
-    private static final String TURNED_AWAY = "HTTP/1.1 503 X\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String TURNED_AWAY = "HTTP/1.1 503 X\r\n"
+            + "X-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
     private static final String BREAK = "";
     private static final String BREAK_LATE = HEAD + STARTED;
     private static final String SILENCE = null;
@@ -356,7 +357,7 @@
         assertEquals(clients.get(0).getInputStream().read(), -1);
         for (int i = 11; i < 20; i++) {
             clients.get(i).getOutputStream().write(post(10).getBytes(StandardCharsets.UTF_8));
-            // Past its bound of seven connections to workers the last two are bounced, and have their answers.
+            // Past its bound of seven connections to workers the last two are bounced, with an answer.
             assertTrue(i >= 18 || workers.next().startsWith("POST"));
         }
         assertEquals(status(read(clients.get(19).getInputStream())), 503);
@@ -375,7 +376,7 @@
         assertEquals(status(ask(slow.get(0), post(10).substring(8).replace("X-Timeout", "X-Other"))), 400);
     }
 
-    /** Bytes ahead of their turn wait, however many: the answer that is under way must not be lost for them. */
+    /** Bytes ahead of their turn wait, however many: the answer under way must not be lost for them. */
     @Test(timeOut = PATIENCE)
     public void servesWhatCameAheadOfItsTurn() throws Exception {
         workers.answers.addAll(List.of(DONE, DONE, DONE, DONE, DONE));
@@ -423,7 +424,7 @@
         assertEquals(discovery.next(), "GET " + call + " HTTP/1.1");
     }
 
-    /** Guards against a hot loop between us and a discovery that neither holds calls nor gives whole lists. */
+    /** Guards against a hot loop with a discovery that neither holds calls nor gives whole lists. */
     @Test(timeOut = PATIENCE)
     public void pausesBetweenAnswersThatTellNothing() throws Exception {
         String nothing = http("{\"version\":5,\"full\":false,\"servers\":[]}");
--- a/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
+++ b/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
@@ -105,19 +105,17 @@
             {ClientAnswer.fulfilled("ok".getBytes(StandardCharsets.UTF_8)), false,
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
             {ClientAnswer.bounced(0.0401), true, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.041\r\n"
-                + "Connection: close\r\nContent-Length: 24\r\n\r\nbounced: a retry is safe\n"},
+                + "Connection: close\r\nContent-Length: 25\r\n\r\nbounced: a retry is safe\n"},
             {ClientAnswer.bounced(0), false, "HTTP/1.1 503 Service Unavailable\r\n"
-                + "Content-Length: 24\r\n\r\nbounced: a retry is safe\n"},
+                + "Content-Length: 25\r\n\r\nbounced: a retry is safe\n"},
             {ClientAnswer.scrapped(), false, "HTTP/1.1 502 Bad Gateway\r\n"
-                + "Content-Length: 25\r\n\r\nscrapped: it may have run\n"},
+                + "Content-Length: 26\r\n\r\nscrapped: it may have run\n"},
         };
     }
 
     @Test(dataProvider = "answers")
     public void encodesAnswers(ClientAnswer answer, boolean last, String expected) {
         String text = StandardCharsets.UTF_8.decode(answer.encode(last)).toString();
-        assertEquals(text.replaceAll("Content-Length: \\d+", ""), expected.replaceAll("Content-Length: \\d+", ""));
-        String body = text.substring(text.indexOf("\r\n\r\n") + 4);
-        assertTrue(text.contains("Content-Length: " + body.length() + "\r\n"), text);
+        assertEquals(text, expected);
     }
 }
--- a/src/test/java/wheelroute/net/workers/LaunchDecoderTest.java
+++ b/src/test/java/wheelroute/net/workers/LaunchDecoderTest.java
@@ -16,7 +16,8 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String STARTED = "{'id':'9b','from':'s-0','state':'started'}\n";
     private static final String RUNNING = "{'id':'9b','from':'s-0','state':'running','share':0.4}\n";
-    private static final String DONE = "{'id':'9b','state':'done','load':{'pending':1,'x0':2},'result':'r\\n\u00e9'}\n";
+    private static final String DONE = "{'id':'9b','state':'done','load':{'pending':1,'x0':2},"
+            + "'result':'r\\n\u00e9'}\n";
     private static final String LAST = "0\r\n\r\n";
 
     private final StringBuilder heard = new StringBuilder();
@@ -128,7 +129,8 @@
 
     @Test
     public void encodesWhatTheClientSent() {
-        LaunchMessage message = new LaunchMessage("POST", "/a%20b?q", "9b", null, "7f", new byte[] {'h', 'i'});
+        LaunchMessage message = new LaunchMessage("POST", "/a%20b?q", "9b", null, "7f",
+                new byte[] {'h', 'i'});
         assertEquals(StandardCharsets.UTF_8.decode(message.encode("127.0.0.1:80", 0.4567)).toString(),
                 "POST /a%20b?q HTTP/1.1\r\nHost: 127.0.0.1:80\r\nX-Request-ID: 9b\r\nX-Route-Key: 7f\r\n"
                 + "X-Timeout: 0.457\r\nContent-Length: 2\r\n\r\nhi");
