Bodies have a bound in all: many large ones at once ended the process

Seen with a small probe: 480 clients, each with two bodies of 64 KiB sent at once, against a worker that never answers: 'Java heap space' within a second at a heap of 80 MB, exit 3. Every body was held two to three times (ClientDecoder's buffer and its copy, HttpText.body's copy for each send) and nothing bounded their sum. Now a body is held once, 24 MB of them in all, and past that a message is answered 503 before it is taken; a send takes head and body as two buffers. Also: a submission answered as it was taken left its exchange with the connection, which then never expired. Lines of workers are bounded at 64 KiB, as bodies are.

--- a/src/main/java/wheelroute/net/HttpText.java
+++ b/src/main/java/wheelroute/net/HttpText.java
@@ -21,10 +21,10 @@
         return this;
     }
 
-    public ByteBuffer body(byte[] body) {
-        byte[] top = field("Content-Length", Integer.toString(body.length)).head.append("\r\n").toString()
-                .getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.allocate(top.length + body.length).put(top).put(body).flip();
+    /** Two buffers, to be written at once: bodies are large and must not be copied for each send. */
+    public ByteBuffer[] body(byte[] body) {
+        return new ByteBuffer[] {field("Content-Length", Integer.toString(body.length)).noBody(),
+            ByteBuffer.wrap(body)};
     }
 
     public ByteBuffer noBody() {
--- a/src/main/java/wheelroute/net/Loop.java
+++ b/src/main/java/wheelroute/net/Loop.java
@@ -32,7 +32,7 @@
  */
 public final class Loop {
     /** The largest read at once: most messages come in one, and a client may have one such read ahead. */
-    private static final int READ_BUFFER = 32 * 1024;
+    private static final int READ_BUFFER = 16 * 1024;
     /** Connections waiting to be accepted: a burst of clients must not be refused by the kernel. */
     private static final int BACKLOG = 512;
     private static final double MILLIS = 1e3;
--- a/src/main/java/wheelroute/net/clients/ClientAnswer.java
+++ b/src/main/java/wheelroute/net/clients/ClientAnswer.java
@@ -30,7 +30,7 @@
         return words.getBytes(StandardCharsets.UTF_8);
     }
 
-    public ByteBuffer encode(boolean lastOnConnection) {
+    public ByteBuffer[] encode(boolean lastOnConnection) {
         String advice = Double.toString(Math.ceil(retryAfter * MILLIS) / MILLIS);
         return new HttpText("HTTP/1.1 " + status + " " + HttpStatus.getMessage(status))
                 .field("Retry-After", retryAfter > 0 ? advice : null)
--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -15,9 +15,10 @@
 
     private final Loop loop;
     private final Clients clients;
-    private final ClientDecoder decoder = new ClientDecoder();
+    private final ClientDecoder decoder;
     private Submitters.Taken taken;
     private boolean waiting;
+    private boolean unanswered;
     private boolean lastMessage;
     private boolean begun;
     private boolean lingering;
@@ -29,6 +30,7 @@
         super(endPoint, Runnable::run);
         this.loop = loop;
         this.clients = clients;
+        decoder = new ClientDecoder(clients.room());
     }
 
     @Override
@@ -117,11 +119,13 @@
             clients.notTaken();
             answer(ClientAnswer.of(HttpStatus.BAD_REQUEST_400, "X-Request-ID or X-Timeout is missing"));
         } else {
+            unanswered = true;
             Submitters.Taken now = clients.take(message, this);
             if (now == null) {
                 clients.notTaken();
                 answer(ClientAnswer.of(HttpStatus.NOT_FOUND_404, "no such offering"));
-            } else if (waiting) {
+            } else if (unanswered) {
+                // Else it was answered as it was taken, and there is nobody to tell that the client left.
                 taken = now;
             }
         }
@@ -130,6 +134,8 @@
     @Override
     public void answer(ClientAnswer answer) {
         taken = null;
+        unanswered = false;
+        decoder.release();
         if (!getEndPoint().isOpen() || !waiting) {
             return;
         }
@@ -189,6 +195,7 @@
 
     @Override
     public void close() {
+        decoder.release();
         clients.closed(this);
         super.close();
     }
@@ -196,6 +203,7 @@
     @Override
     public void onClose(Throwable cause) {
         super.onClose(cause);
+        decoder.release();
         clients.closed(this);
     }
 }
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -1,7 +1,7 @@
 package wheelroute.net.clients;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpException;
@@ -17,13 +17,29 @@
     /** Far more than the protocol's headers need, and bounded: many clients share little memory. */
     static final int MOST_HEAD = 8 * 1024;
     private static final double MICROS = 1e6;
+    private static final byte[] NO_BODY = {};
 
     private final HttpParser parser = new HttpParser(this, MOST_HEAD);
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private final Room room;
+    private byte[] body = NO_BODY;
+    private int filled;
+    private int roomTaken;
     private String method;
     private String target;
     private BadMessage fault;
 
+    public ClientDecoder(Room room) {
+        this.room = room;
+    }
+
+    /** The last message is done with, and so is its body. */
+    public void release() {
+        room.giveBack(roomTaken);
+        roomTaken = 0;
+        filled = 0;
+        body = NO_BODY;
+    }
+
     /** The next message, or null when more bytes are wanted; what follows it stays in the buffer. */
     public ClientMessage decode(ByteBuffer in) throws BadMessage {
         while (!isComplete() && fault == null && in.hasRemaining()) {
@@ -42,8 +58,6 @@
         }
         ClientMessage message = message();
         parser.reset();
-        // Many connections stay open and idle: none may hold on to the largest body that it has seen.
-        body = new ByteArrayOutputStream(0);
         return message;
     }
 
@@ -55,7 +69,7 @@
                 number("x-timeout", fields.get("x-timeout"), Double.NaN),
                 number("x-cost", fields.get("x-cost"), Double.NaN) / MICROS,
                 number("slots", attrs.get("slots"), 1), number("memory", attrs.get("memory"), 0),
-                "1".equals(fields.get("x-retried")), keepsOpen(), body.toByteArray());
+                "1".equals(fields.get("x-retried")), keepsOpen(), filled == body.length ? body : Arrays.copyOf(body, filled));
     }
 
     private Map<String, String> attrs() throws BadMessage {
@@ -95,25 +109,33 @@
 
     @Override
     public boolean headerComplete() {
-        if (parser.getContentLength() > MOST_BODY) {
+        release();
+        return parser.getContentLength() > 0 && !grow(parser.getContentLength());
+    }
+
+    /** Makes the body so long, or finds fault: too long for the protocol, or for what all may hold. */
+    private boolean grow(long length) {
+        if (length > MOST_BODY) {
             fault = new BadMessage(HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is over " + MOST_BODY);
-            return true;
-        }
-        if (parser.getContentLength() > 0) {
-            body = new ByteArrayOutputStream((int) parser.getContentLength());
+        } else if (!room.take((int) length - roomTaken)) {
+            fault = new BadMessage(HttpStatus.SERVICE_UNAVAILABLE_503, "no room for the body now");
+        } else {
+            roomTaken = (int) length;
+            body = Arrays.copyOf(body, roomTaken);
         }
-        return false;
+        return fault == null;
     }
 
     @Override
     public boolean content(ByteBuffer piece) {
-        if (body.size() + piece.remaining() > MOST_BODY) {
-            fault = new BadMessage(HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is over " + MOST_BODY);
+        int needed = filled + piece.remaining();
+        // Doubled where the length was not told, so that many small pieces are not copied over and over.
+        if (needed > body.length && !grow(Math.max(needed, Math.min(2L * body.length, MOST_BODY)))) {
             return true;
         }
-        byte[] bytes = new byte[piece.remaining()];
-        piece.get(bytes);
-        body.write(bytes, 0, bytes.length);
+        int length = piece.remaining();
+        piece.get(body, filled, length);
+        filled += length;
         return false;
     }
 
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -19,11 +19,14 @@
     private static final double TURNED_AWAY_PART = 0.06;
     /** A connection on which nothing comes for so long is closed: slow senders must not fill the bound. */
     private static final long IDLE_MILLIS = 120_000;
+    /** Bytes of bodies held for all clients: a quarter of the heap that the operators' limit leaves us. */
+    private static final long MOST_HELD = 24L << 20;
 
     private final Loop loop;
     private final Submitters submitters;
     private final Counters counters;
     private final int most;
+    private final Room room = new Room(MOST_HELD);
     private final Set<ClientConnection> open = new LinkedHashSet<>();
     private ServerSocketChannel server;
 
@@ -74,6 +77,10 @@
         }
     }
 
+    Room room() {
+        return room;
+    }
+
     void closed(ClientConnection connection) {
         open.remove(connection);
     }
--- /dev/null
+++ b/src/main/java/wheelroute/net/clients/Room.java
@@ -0,0 +1,22 @@
+package wheelroute.net.clients;
+
+/** A bound on the bytes of bodies held at one time, whoever sent them: memory is not to end with the clients. */
+public final class Room {
+    private final long most;
+    private long held;
+
+    public Room(long most) {
+        this.most = most;
+    }
+
+    /** Makes room for so many bytes, or says that there is none. */
+    boolean take(int bytes) {
+        boolean fits = held + bytes <= most;
+        held += fits ? bytes : 0;
+        return fits;
+    }
+
+    void giveBack(int bytes) {
+        held -= bytes;
+    }
+}
--- a/src/main/java/wheelroute/net/workers/LaunchDecoder.java
+++ b/src/main/java/wheelroute/net/workers/LaunchDecoder.java
@@ -23,8 +23,8 @@
         void complete(boolean keepsOpen);
     }
 
-    /** A result of the largest body, escaped at its worst by a sixfold, and the fields round it. */
-    private static final int MOST_LINE = 6 * 64 * 1024 + 1024;
+    /** The protocol's limit on bodies, of which a line is a part. */
+    private static final int MOST_LINE = 64 * 1024;
     private static final byte[] NO_RESULT = {};
 
     private final AnswerParser parser = new AnswerParser(this);
--- a/src/main/java/wheelroute/net/workers/LaunchMessage.java
+++ b/src/main/java/wheelroute/net/workers/LaunchMessage.java
@@ -11,7 +11,7 @@
  */
 public record LaunchMessage(String method, String target, String id, String mark, String routeKey,
         byte[] body) {
-    public ByteBuffer encode(String host, double limit) {
+    public ByteBuffer[] encode(String host, double limit) {
         return new HttpText(method + " " + target + " HTTP/1.1").field("Host", host).field("X-Request-ID", id)
                 .field("Idempotency-Key", mark).field("X-Route-Key", routeKey)
                 .field("X-Timeout", String.format(Locale.ROOT, "%.3f", limit)).body(body);
