Stalled senders hold neither the others' room nor their places for ever

Seen in reading, then in a test on sockets: a body's room was taken by what its head promised, so 384 clients that stall would have had all of it; and messages that never end kept their places at the bound on connections. Room now goes by what has come; at the bound a connection whose last answer is out makes room first, then an idle one, then one that has been sending for over 5 s. The first try, without the lingering ones, closed newcomers without an answer where many came in a row: slowSendersMakeRoomInTime showed it.

--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -13,6 +13,9 @@
     /** How long a closing connection swallows what still comes: a reset would take the answer with it. */
     private static final double LINGER = 1;
 
+    /** The largest message takes a moment on any network worth the name. */
+    private static final double SLOW = 5;
+
     private final Loop loop;
     private final Clients clients;
     private final ClientDecoder decoder;
@@ -21,6 +24,7 @@
     private boolean unanswered;
     private boolean lastMessage;
     private boolean begun;
+    private double begunAt;
     private boolean lingering;
     private boolean turnedAway;
     /** What came before its turn, one read at most: nothing more is read until the answer is out. */
@@ -77,6 +81,7 @@
             return;
         }
         try {
+            begunAt = begun ? begunAt : loop.now();
             begun = true;
             ClientMessage message = decoder.decode(in);
             if (message == null) {
@@ -169,6 +174,16 @@
         }
     }
 
+    /** Its last answer is out; it only waits for the client to see that. */
+    boolean isLingering() {
+        return lingering;
+    }
+
+    /** A message has been on its way for so long that others may have its place. */
+    boolean isSlow() {
+        return begun && !waiting && loop.now() - begunAt > SLOW;
+    }
+
     /** Between two submissions, with none begun. */
     boolean isIdle() {
         return !waiting && !begun && !lingering;
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -110,13 +110,20 @@
     @Override
     public boolean headerComplete() {
         release();
-        return parser.getContentLength() > 0 && !grow(parser.getContentLength());
+        if (parser.getContentLength() > MOST_BODY) {
+            fault = tooLarge();
+        }
+        return fault != null;
+    }
+
+    private static BadMessage tooLarge() {
+        return new BadMessage(HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is over " + MOST_BODY);
     }
 
     /** Makes the body so long, or finds fault: too long for the protocol, or for what all may hold. */
     private boolean grow(long length) {
         if (length > MOST_BODY) {
-            fault = new BadMessage(HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is over " + MOST_BODY);
+            fault = tooLarge();
         } else if (!room.take((int) length - roomTaken)) {
             fault = new BadMessage(HttpStatus.SERVICE_UNAVAILABLE_503, "no room for the body now");
         } else {
@@ -129,8 +136,9 @@
     @Override
     public boolean content(ByteBuffer piece) {
         int needed = filled + piece.remaining();
-        // Doubled where the length was not told, so that many small pieces are not copied over and over.
-        if (needed > body.length && !grow(Math.max(needed, Math.min(2L * body.length, MOST_BODY)))) {
+        // Room is for what has come, not for what was promised: who stalls must not hold the others' room.
+        long most = parser.getContentLength() > 0 ? parser.getContentLength() : MOST_BODY;
+        if (needed > body.length && !grow(Math.max(needed, Math.min(2L * body.length, most)))) {
             return true;
         }
         int length = piece.remaining();
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -6,7 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -57,11 +59,12 @@
         // An accepted connection that broke at once: nothing was taken on it.
     }
 
-    /** False when it is one too many, and none that is idle can make room. */
+    /** False when it is one too many, and none that is done, idle or slow can make room. */
     boolean opened(ClientConnection connection) {
         counters.count(Counters.Kind.CLIENTS_OPENED);
         if (open.size() >= most) {
-            open.stream().filter(ClientConnection::isIdle).findFirst().ifPresent(ClientConnection::close);
+            first(ClientConnection::isLingering).or(() -> first(ClientConnection::isIdle))
+                    .or(() -> first(ClientConnection::isSlow)).ifPresent(ClientConnection::close);
         }
         open.add(connection);
         if (open.size() > most + 1 + TURNED_AWAY_PART * most) {
@@ -70,6 +73,10 @@
         return open.size() <= most;
     }
 
+    private Optional<ClientConnection> first(Predicate<ClientConnection> test) {
+        return open.stream().filter(test).findFirst();
+    }
+
     /** Keeps the open ones in the order in which they last spoke: the longest idle makes room first. */
     void heard(ClientConnection connection) {
         if (open.remove(connection)) {
--- a/src/test/java/wheelroute/net/ServiceTest.java
+++ b/src/test/java/wheelroute/net/ServiceTest.java
@@ -376,6 +376,23 @@
         assertEquals(status(ask(slow.get(0), post(10).substring(8).replace("X-Timeout", "X-Other"))), 400);
     }
 
+    /** Guards against places held for ever by messages that never end. */
+    @Test(timeOut = PATIENCE)
+    public void slowSendersMakeRoomInTime() throws Exception {
+        workers.answers.add(DONE);
+        serve(Effect.IDEMPOTENT, 58, known(workers.listen()));
+        for (int i = 0; i < 9; i++) {
+            assertEquals(status(ask(connect(), "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\nPOST /jo")), 200);
+        }
+        int status = 503;
+        while (status == 503) {
+            try (Socket next = connect()) {
+                status = status(ask(next, post(10)));
+            }
+        }
+        assertEquals(status, 200);
+    }
+
     /** Bytes ahead of their turn wait, however many: the answer under way must not be lost for them. */
     @Test(timeOut = PATIENCE)
     public void servesWhatCameAheadOfItsTurn() throws Exception {
