One reading loop for the connections of all three kinds of peer

ClientConnection, WorkerConnection and the watch's connection each had the loop over fill, end and break; Link has it now.

--- /dev/null
+++ b/src/main/java/wheelroute/net/Link.java
@@ -0,0 +1,65 @@
+package wheelroute.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+
+/** A connection of any kind of peer: it reads whatever comes, from its opening on. */
+public abstract class Link extends AbstractConnection {
+    protected final Loop loop;
+
+    protected Link(EndPoint endPoint, Loop loop) {
+        // What is to run on a connection's behalf runs on the loop's thread, where its events come from.
+        super(endPoint, Runnable::run);
+        this.loop = loop;
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        if (getEndPoint().isOpen()) {
+            fillInterested();
+        }
+    }
+
+    /** False to let what comes wait. */
+    protected boolean wantsMore() {
+        return true;
+    }
+
+    /** The bytes are gone after this. */
+    protected abstract void received(ByteBuffer in) throws IOException;
+
+    /** The other side has ended its sending. */
+    protected abstract void atEnd() throws IOException;
+
+    /** The connection broke, or one of the two above threw. */
+    protected abstract void broke(Throwable cause);
+
+    @Override
+    public void onFillable() {
+        try {
+            while (getEndPoint().isOpen() && wantsMore()) {
+                ByteBuffer in = loop.readBuffer();
+                int got = getEndPoint().fill(in);
+                if (got > 0) {
+                    received(in);
+                } else if (got == 0) {
+                    fillInterested();
+                    return;
+                } else {
+                    atEnd();
+                    return;
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            broke(e);
+        }
+    }
+
+    @Override
+    public void onFillInterestedFailed(Throwable cause) {
+        broke(cause);
+    }
+}
--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -3,20 +3,19 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
+import wheelroute.net.Link;
 import wheelroute.net.Loop;
 
 /** One client's connection: one submission at a time, the next once it is answered. */
-final class ClientConnection extends AbstractConnection implements Submitters.Answers {
+final class ClientConnection extends Link implements Submitters.Answers {
     /** How long a closing connection swallows what still comes: a reset would take the answer with it. */
     private static final double LINGER = 1;
 
     /** The largest message takes a moment on any network worth the name. */
     private static final double SLOW = 5;
 
-    private final Loop loop;
     private final Clients clients;
     private final ClientDecoder decoder;
     private Submitters.Taken taken;
@@ -31,47 +30,37 @@
     private ByteBuffer ahead;
 
     ClientConnection(EndPoint endPoint, Loop loop, Clients clients) {
-        super(endPoint, Runnable::run);
-        this.loop = loop;
+        super(endPoint, loop);
         this.clients = clients;
         decoder = new ClientDecoder(clients.room());
     }
 
     @Override
     public void onOpen() {
-        super.onOpen();
         turnedAway = !clients.opened(this);
-        if (getEndPoint().isOpen()) {
-            fillInterested();
-        }
+        super.onOpen();
     }
 
     @Override
-    public void onFillable() {
-        try {
-            while (getEndPoint().isOpen() && ahead == null) {
-                ByteBuffer in = loop.readBuffer();
-                int got = getEndPoint().fill(in);
-                if (got < 0) {
-                    ended();
-                    return;
-                }
-                if (got == 0) {
-                    fillInterested();
-                    return;
-                }
-                if (!lingering) {
-                    read(in);
-                }
-            }
-        } catch (Exception e) {
-            // A broken connection is a client that has gone away, however it broke.
-            ended();
+    protected boolean wantsMore() {
+        return ahead == null;
+    }
+
+    @Override
+    protected void received(ByteBuffer in) {
+        if (!lingering) {
+            read(in);
         }
     }
 
+    /** A client that ends its sending has gone away, as one has whose connection broke. */
+    @Override
+    protected void atEnd() {
+        ended();
+    }
+
     @Override
-    public void onFillInterestedFailed(Throwable cause) {
+    protected void broke(Throwable cause) {
         ended();
     }
 
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -69,7 +69,8 @@
                 number("x-timeout", fields.get("x-timeout"), Double.NaN),
                 number("x-cost", fields.get("x-cost"), Double.NaN) / MICROS,
                 number("slots", attrs.get("slots"), 1), number("memory", attrs.get("memory"), 0),
-                "1".equals(fields.get("x-retried")), keepsOpen(), filled == body.length ? body : Arrays.copyOf(body, filled));
+                "1".equals(fields.get("x-retried")), keepsOpen(),
+                filled == body.length ? body : Arrays.copyOf(body, filled));
     }
 
     private Map<String, String> attrs() throws BadMessage {
--- a/src/main/java/wheelroute/net/clients/Room.java
+++ b/src/main/java/wheelroute/net/clients/Room.java
@@ -1,6 +1,6 @@
 package wheelroute.net.clients;
 
-/** A bound on the bytes of bodies held at one time, whoever sent them: memory is not to end with the clients. */
+/** A bound on the bytes of bodies held at one time: how many clients send them is not ours to choose. */
 public final class Room {
     private final long most;
     private long held;
--- a/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -6,7 +6,6 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
@@ -15,6 +14,7 @@
 import wheelroute.net.AnswerParser;
 import wheelroute.net.Counters;
 import wheelroute.net.HttpText;
+import wheelroute.net.Link;
 import wheelroute.net.Loop;
 
 /** The watch on discovery: one call always open, the next made as soon as one is answered. */
@@ -116,7 +116,7 @@
         @Override
         public Connection opened(EndPoint opened) {
             endPoint = opened;
-            return new Link(opened);
+            return new CallLink(opened);
         }
 
         @Override
@@ -191,42 +191,36 @@
         }
 
         /** The connection as the loop sees it. */
-        private final class Link extends AbstractConnection {
-            Link(EndPoint endPoint) {
-                super(endPoint, Runnable::run);
+        private final class CallLink extends Link {
+            CallLink(EndPoint endPoint) {
+                super(endPoint, ListWatch.this.loop);
             }
 
             @Override
             public void onOpen() {
                 super.onOpen();
-                fillInterested();
                 ask();
             }
 
             @Override
-            public void onFillable() {
-                try {
-                    while (call == Call.this && getEndPoint().isOpen()) {
-                        ByteBuffer in = loop.readBuffer();
-                        int got = getEndPoint().fill(in);
-                        if (got == 0) {
-                            fillInterested();
-                            return;
-                        }
-                        if (got < 0) {
-                            parser.atEnd();
-                            throw new IOException("the connection ended");
-                        }
-                        parser.parse(in);
-                    }
-                } catch (IOException | RuntimeException e) {
-                    ListWatch.this.failed(Call.this, e.getMessage());
-                }
+            protected boolean wantsMore() {
+                return call == Call.this;
             }
 
             @Override
-            public void onFillInterestedFailed(Throwable cause) {
-                Call.this.failed(cause);
+            protected void received(ByteBuffer in) throws IOException {
+                parser.parse(in);
+            }
+
+            @Override
+            protected void atEnd() throws IOException {
+                parser.atEnd();
+                throw new IOException("the connection ended");
+            }
+
+            @Override
+            protected void broke(Throwable cause) {
+                ListWatch.this.failed(Call.this, cause.getMessage());
             }
         }
     }
--- a/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -3,18 +3,17 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeoutException;
-import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 import wheelroute.net.End;
+import wheelroute.net.Link;
 import wheelroute.net.Loop;
 
 /** One connection to a worker: one launch at a time, idle in between. */
-final class WorkerConnection extends AbstractConnection implements LaunchDecoder.Hearer {
+final class WorkerConnection extends Link implements LaunchDecoder.Hearer {
     /** For the last chunk after a last line: past it the connection is no use, and there may be many such. */
     private static final double TAIL = 1;
 
-    private final Loop loop;
     private final Station station;
     private final LaunchDecoder decoder = new LaunchDecoder(this);
     private Flight flight;
@@ -22,17 +21,10 @@
     private boolean busy;
 
     WorkerConnection(EndPoint endPoint, Loop loop, Station station) {
-        super(endPoint, Runnable::run);
-        this.loop = loop;
+        super(endPoint, loop);
         this.station = station;
     }
 
-    @Override
-    public void onOpen() {
-        super.onOpen();
-        fillInterested();
-    }
-
     void send(Flight next) {
         flight = next;
         busy = true;
@@ -53,28 +45,7 @@
     }
 
     @Override
-    public void onFillable() {
-        try {
-            while (getEndPoint().isOpen()) {
-                ByteBuffer in = loop.readBuffer();
-                int got = getEndPoint().fill(in);
-                if (got == 0) {
-                    fillInterested();
-                    return;
-                }
-                if (got < 0) {
-                    decoder.atEnd();
-                    broke(End.BROKE);
-                    return;
-                }
-                read(in);
-            }
-        } catch (IOException e) {
-            broke(End.BROKE);
-        }
-    }
-
-    private void read(ByteBuffer in) {
+    protected void received(ByteBuffer in) {
         try {
             decoder.decode(in);
         } catch (IOException | RuntimeException e) {
@@ -83,7 +54,13 @@
     }
 
     @Override
-    public void onFillInterestedFailed(Throwable cause) {
+    protected void atEnd() throws IOException {
+        decoder.atEnd();
+        broke(End.BROKE);
+    }
+
+    @Override
+    protected void broke(Throwable cause) {
         broke(End.BROKE);
     }
 
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -1,5 +1,7 @@
 package wheelroute;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -54,6 +56,15 @@
         policy.at(now);
     }
 
+    /** A message's buffers as one text. */
+    public static String text(ByteBuffer[] parts) {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuffer part : parts) {
+            text.append(StandardCharsets.UTF_8.decode(part));
+        }
+        return text.toString();
+    }
+
     static World of(Effect effect, Group group) {
         Given given = new Given();
         given.effect = effect;
--- a/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
+++ b/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import wheelroute.World;
 
 /** Clients' messages in all the shapes that a network or a stranger may give them. */
 public class ClientDecoderTest {
@@ -134,8 +135,6 @@
 
     @Test(dataProvider = "answers")
     public void encodesAnswers(ClientAnswer answer, boolean last, String expected) {
-        ByteBuffer[] parts = answer.encode(last);
-        String text = StandardCharsets.UTF_8.decode(parts[0]).toString() + StandardCharsets.UTF_8.decode(parts[1]);
-        assertEquals(text, expected);
+        assertEquals(World.text(answer.encode(last)), expected);
     }
 }
--- a/src/test/java/wheelroute/net/workers/LaunchDecoderTest.java
+++ b/src/test/java/wheelroute/net/workers/LaunchDecoderTest.java
@@ -9,6 +9,7 @@
 import java.util.EnumSet;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import wheelroute.World;
 import wheelroute.net.End;
 
 /** Workers' answers in all the shapes that a network or a faulty worker may give them. */
@@ -131,8 +132,7 @@
     public void encodesWhatTheClientSent() {
         LaunchMessage message = new LaunchMessage("POST", "/a%20b?q", "9b", null, "7f",
                 new byte[] {'h', 'i'});
-        ByteBuffer[] parts = message.encode("127.0.0.1:80", 0.4567);
-        assertEquals(StandardCharsets.UTF_8.decode(parts[0]).toString() + StandardCharsets.UTF_8.decode(parts[1]),
+        assertEquals(World.text(message.encode("127.0.0.1:80", 0.4567)),
                 "POST /a%20b?q HTTP/1.1\r\nHost: 127.0.0.1:80\r\nX-Request-ID: 9b\r\nX-Route-Key: 7f\r\n"
                 + "X-Timeout: 0.457\r\nContent-Length: 2\r\n\r\nhi");
     }
