--- a/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -220,7 +220,7 @@
 
             @Override
             protected void broke(Throwable cause) {
-                ListWatch.this.failed(Call.this, cause.getMessage());
+                ListWatch.this.failed(Call.this, cause.toString());
             }
         }
     }
--- a/src/test/java/wheelroute/net/ServiceTest.java
+++ b/src/test/java/wheelroute/net/ServiceTest.java
@@ -318,6 +318,8 @@
         assertEquals(status(ask(connect(), post(10))), 200);
         assertEquals(status(ask(connect(), post(10))), 200);
         assertEquals(workers.connections.get(), 2);
+        // Nor does it stay: a worker that never sends its last chunks would hold one for each launch.
+        assertEquals(workers.closed.take().intValue(), 1);
     }
 
     @DataProvider
