Read again: the tail's timer is taken back, one empty result, nothing unused

WorkerConnection.ended set a timer at each launch that kept the launch and its body for a second though the tail nearly always comes in the same read; complete now takes it back. Three constants for the empty result are one, in Launches; WorkerNote.decode no longer asks for a length that was always the whole; Exchanges.open and Counters.of had no or one caller.

--- a/src/main/java/wheelroute/net/Counters.java
+++ b/src/main/java/wheelroute/net/Counters.java
@@ -40,10 +40,6 @@
         ends[end.ordinal()]++;
     }
 
-    public long of(Kind kind) {
-        return kinds[kind.ordinal()];
-    }
-
     /** Prometheus text; the gauges are what is open at this moment. */
     public String text(int submissionsOpen, int clientsOpen, int workersOpen) {
         StringBuilder out = new StringBuilder();
@@ -53,7 +49,7 @@
                 out.append("# TYPE ").append(PREFIX).append(kind.name).append(" counter\n");
                 last = kind.name;
             }
-            line(out, kind.name, kind.label, of(kind));
+            line(out, kind.name, kind.label, kinds[kind.ordinal()]);
         }
         out.append("# TYPE ").append(PREFIX).append("launch_ends_total counter\n");
         for (End end : End.values()) {
--- a/src/main/java/wheelroute/net/Exchange.java
+++ b/src/main/java/wheelroute/net/Exchange.java
@@ -15,8 +15,6 @@
 
 /** One submission: its handle, its launches and its single final answer. Client and worker side meet here. */
 final class Exchange implements Submitters.Taken {
-    private static final byte[] NO_RESULT = {};
-
     private final Exchanges exchanges;
     private final Submission submission;
     private final LaunchMessage message;
@@ -88,7 +86,7 @@
         Launch launch = new Launch(launches.size());
         launches.add(launch);
         if (exchanges.hasEnded()) {
-            launch.ended(End.ENDED_UNSENT, NO_RESULT, Double.NaN);
+            launch.ended(End.ENDED_UNSENT, Launches.NO_RESULT, Double.NaN);
         } else {
             exchanges.counters().count(Counters.Kind.LAUNCHED);
             launch.flight = exchanges.workers().send(worker, message, submission.outerLimit(), launch);
@@ -144,7 +142,7 @@
     }
 
     /** Also after its taking: what is answered within it has no later event that would close it. */
-    void closeIfOver() {
+    private void closeIfOver() {
         if (answered && handle.isOver()) {
             limit.cancel();
             exchanges.remove(submission.id());
--- a/src/main/java/wheelroute/net/Exchanges.java
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -98,10 +98,6 @@
         open.remove(id);
     }
 
-    int open() {
-        return open.size();
-    }
-
     // ---- from the clients
 
     @Override
--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -12,7 +12,6 @@
 final class ClientConnection extends Link implements Submitters.Answers {
     /** How long a closing connection swallows what still comes: a reset would take the answer with it. */
     private static final double LINGER = 1;
-
     /** The largest message takes a moment on any network worth the name. */
     private static final double SLOW = 5;
 
--- a/src/main/java/wheelroute/net/workers/Flight.java
+++ b/src/main/java/wheelroute/net/workers/Flight.java
@@ -4,8 +4,6 @@
 
 /** One launch on its way: connecting, written, ended. */
 public final class Flight {
-    private static final byte[] NO_RESULT = {};
-
     final LaunchMessage message;
     final double outerLimit;
     private final Launches launches;
@@ -56,7 +54,7 @@
     }
 
     void end(End end) {
-        end(end, NO_RESULT, Double.NaN);
+        end(end, Launches.NO_RESULT, Double.NaN);
     }
 
     /** Gives it up: its connection is closed before the end is told, so that no copy can overlap it. */
@@ -67,7 +65,7 @@
             if (on != null) {
                 on.close();
             }
-            launches.ended(written ? end : End.ENDED_UNSENT, NO_RESULT, Double.NaN);
+            launches.ended(written ? end : End.ENDED_UNSENT, Launches.NO_RESULT, Double.NaN);
         }
     }
 }
--- a/src/main/java/wheelroute/net/workers/LaunchDecoder.java
+++ b/src/main/java/wheelroute/net/workers/LaunchDecoder.java
@@ -25,7 +25,6 @@
 
     /** The protocol's limit on bodies, of which a line is a part. */
     private static final int MOST_LINE = 64 * 1024;
-    private static final byte[] NO_RESULT = {};
 
     private final AnswerParser parser = new AnswerParser(this);
     private ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -65,7 +64,7 @@
                     || status == HttpStatus.GATEWAY_TIMEOUT_504) && "1".equals(fields.get("x-not-processed"));
             End end = notBegun ? End.TURNED_AWAY
                     : status == HttpStatus.INTERNAL_SERVER_ERROR_500 ? End.FAILED : End.ODD_STATUS;
-            finish(end, NO_RESULT, WorkerNote.freeSlots(fields.get("x-server-load")));
+            finish(end, Launches.NO_RESULT, WorkerNote.freeSlots(fields.get("x-server-load")));
         }
     }
 
@@ -92,7 +91,7 @@
         if (over || new String(bytes, StandardCharsets.UTF_8).isBlank()) {
             return;
         }
-        WorkerNote note = WorkerNote.decode(bytes, bytes.length);
+        WorkerNote note = WorkerNote.decode(bytes);
         if (!note.id().equals(id)) {
             throw new IOException("a line of another launch");
         }
@@ -105,9 +104,9 @@
                 }
                 finish(End.DONE, note.result(), note.freeSlots());
             }
-            case FAILED -> finish(End.FAILED, NO_RESULT, note.freeSlots());
-            case RETURNED -> finish(End.RETURNED, NO_RESULT, note.freeSlots());
-            case LOST -> finish(End.LOST, NO_RESULT, note.freeSlots());
+            case FAILED -> finish(End.FAILED, Launches.NO_RESULT, note.freeSlots());
+            case RETURNED -> finish(End.RETURNED, Launches.NO_RESULT, note.freeSlots());
+            case LOST -> finish(End.LOST, Launches.NO_RESULT, note.freeSlots());
             case UNKNOWN -> {
                 // A state that came after this version: the launch still has its last line to come.
             }
--- a/src/main/java/wheelroute/net/workers/Launches.java
+++ b/src/main/java/wheelroute/net/workers/Launches.java
@@ -4,6 +4,8 @@
 
 /** What one launch tells whoever made it; exactly one end. */
 public interface Launches {
+    byte[] NO_RESULT = {};
+
     void started();
 
     void progressed(double share);
--- a/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -17,6 +17,7 @@
     private final Station station;
     private final LaunchDecoder decoder = new LaunchDecoder(this);
     private Flight flight;
+    private Loop.Timer tail;
     /** An answer's last byte is still to come, or it will not be used again. */
     private boolean busy;
 
@@ -84,17 +85,13 @@
 
     @Override
     public void ended(End end, byte[] result, double freeSlots) {
-        Flight over = flight;
-        loop.later(TAIL, () -> {
-            if (flight == over) {
-                close();
-            }
-        });
-        over.end(end, result, freeSlots);
+        tail = loop.later(TAIL, this::close);
+        flight.end(end, result, freeSlots);
     }
 
     @Override
     public void complete(boolean keepsOpen) {
+        tail.cancel();
         if (!keepsOpen || !flight.isWritten()) {
             close();
         } else if (getEndPoint().isOpen()) {
--- a/src/main/java/wheelroute/net/workers/WorkerNote.java
+++ b/src/main/java/wheelroute/net/workers/WorkerNote.java
@@ -23,13 +23,13 @@
     private static final JsonFactory JSON = new JsonFactory();
     private static final String FREE_SLOTS = "x0";
 
-    static WorkerNote decode(byte[] line, int length) throws IOException {
+    static WorkerNote decode(byte[] line) throws IOException {
         String id = null;
         State state = State.UNKNOWN;
         double share = 0;
         byte[] result = null;
         double freeSlots = Double.NaN;
-        try (JsonParser parser = JSON.createParser(line, 0, length)) {
+        try (JsonParser parser = JSON.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("a line is not an object");
             }
