SIGHUP reloads the configuration; unreadable messages and open ids are refused

Workers answered each of their launches 400 or 404; 173 launches ended odd_status, six in a row for one submission, each counted as a failure of its worker (Policy.learn, ERRED), so that after seconds all ten workers were on probation and usual submissions found none.

Room is made by visitors that only asked for pages before clients that submitted, and by nobody who connected within 0.5 s or has bytes unread. - Link reads at most four times in a row, so that a sender at full speed leaves the others their turns.

--- a/src/main/java/wheelroute/Main.java
+++ b/src/main/java/wheelroute/Main.java
@@ -45,6 +45,8 @@
         System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
         try {
             Service service = new Service(ConfigReader.read(System.getenv()));
+            // Before it is ready: by default the signal would end the process.
+            Hangup.onSignal(() -> service.reload(() -> ConfigReader.reread(System.getenv())));
             service.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(service), "end"));
         } catch (Exception e) {
--- a/src/main/java/wheelroute/config/Config.java
+++ b/src/main/java/wheelroute/config/Config.java
@@ -1,17 +1,40 @@
 package wheelroute.config;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import wheelroute.decision.Settings;
 
 /**
- * What one dispatcher is told at its start. Times in seconds.
+ * What one dispatcher is told. Times in seconds.
  *
  * @param sockets how many descriptors the process may hold
+ * @param memory how many bytes the process may take; NaN when not told
  * @param known the remembered list of workers, as the JSON that discovery would send; null for none
  * @param connectLimit a connection that is not up after this is given up
  * @param idleLimit a worker closes a connection that has been idle so long
  * @param longestOuterLimit no submission waits longer
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
-        byte[] known, Settings settings, double connectLimit, double idleLimit, double longestOuterLimit) {
+        double memory, byte[] known, Settings settings, double connectLimit, double idleLimit,
+        double longestOuterLimit) {
+    /** The keys by which another configuration differs in what is used only at the start. */
+    public List<String> waitingForRestart(Config other) {
+        List<String> keys = new ArrayList<>();
+        differs(keys, "name", name, other.name);
+        differs(keys, "listen", listen, other.listen);
+        differs(keys, "limits.sockets", sockets, other.sockets);
+        differs(keys, "limits.memory_mb", memory, other.memory);
+        differs(keys, "settings", settings, other.settings.withSeed(settings.seed()));
+        differs(keys, "settings.permissions.connect_timeout_us", connectLimit, other.connectLimit);
+        differs(keys, "settings.permissions.conn_idle_us", idleLimit, other.idleLimit);
+        differs(keys, "settings.request_classes", longestOuterLimit, other.longestOuterLimit);
+        return keys;
+    }
+
+    private static void differs(List<String> keys, String key, Object one, Object other) {
+        if (!one.equals(other)) {
+            keys.add(key);
+        }
+    }
 }
--- a/src/main/java/wheelroute/config/ConfigReader.java
+++ b/src/main/java/wheelroute/config/ConfigReader.java
@@ -14,13 +14,17 @@
 import java.util.Map;
 import wheelroute.decision.Settings;
 
-/** Reads the environment and the file that it names. The environment's own values go before the file's. */
+/**
+ * Reads the environment and the file that it names. At the start the environment's own values go before the
+ * file's; later only the file can have changed, and its word on discovery is the newer one.
+ */
 public final class ConfigReader {
     private static final JsonFactory JSON = new JsonFactory();
     private static final int HEX = 16;
     private static final int MOST_PORT = 65_535;
     /** Far below it nothing could be served: the runtime itself holds some thirty descriptors. */
     private static final int LEAST_SOCKETS = 64;
+    private static final double MEGABYTE = 1 << 20;
     private static final double USUAL_SOCKETS = 1024;
     private static final double USUAL_CONNECT = 0.25;
     private static final double USUAL_IDLE = 30;
@@ -28,14 +32,25 @@
 
     private final Map<String, String> environment;
     private final Map<String, String> file = new HashMap<>();
+    private final boolean again;
     private byte[] known;
 
-    private ConfigReader(Map<String, String> environment) {
+    private ConfigReader(Map<String, String> environment, boolean again) {
         this.environment = environment;
+        this.again = again;
     }
 
     public static Config read(Map<String, String> environment) throws ConfigException {
-        ConfigReader reader = new ConfigReader(environment);
+        return read(environment, false);
+    }
+
+    /** The same for a process that serves already, after its file was replaced. */
+    public static Config reread(Map<String, String> environment) throws ConfigException {
+        return read(environment, true);
+    }
+
+    private static Config read(Map<String, String> environment, boolean again) throws ConfigException {
+        ConfigReader reader = new ConfigReader(environment, again);
         reader.readFile();
         return reader.config();
     }
@@ -58,6 +73,9 @@
                     JsonPairs.flatten(parser, name, file);
                 }
             }
+            if (parser.nextToken() != null) {
+                throw new ConfigException("LB_CONFIG", "names a file that goes on after its object");
+            }
         } catch (IOException | InvalidPathException e) {
             throw new ConfigException("LB_CONFIG", "names a file that cannot be read: " + e.getMessage());
         }
@@ -95,10 +113,15 @@
         if (!(sockets >= LEAST_SOCKETS)) {
             throw new ConfigException("limits.sockets", "is under " + LEAST_SOCKETS);
         }
+        double memory = new SettingsReader(file).number("limits.memory_mb", Double.NaN) * MEGABYTE;
+        if (memory <= 0) {
+            throw new ConfigException("limits.memory_mb", "is not above 0");
+        }
         String connect = "permissions.connect_timeout_us";
         String idle = "permissions.conn_idle_us";
+        String discovery = again && file.containsKey("discovery") ? "" : "LB_DISCOVERY";
         return new Config(value("LB_NAME", "name"), address("LB_LISTEN", "listen"),
-                address("LB_DISCOVERY", "discovery"), (int) sockets, known, settings,
+                address(discovery, "discovery"), (int) sockets, memory, known, settings,
                 positive(connect, reader.seconds(connect, USUAL_CONNECT)),
                 positive(idle, reader.seconds(idle, USUAL_IDLE)), longest);
     }
@@ -122,7 +145,8 @@
     private String value(String variable, String key) throws ConfigException {
         String value = environment.getOrDefault(variable, file.get(key));
         if (value == null || value.isEmpty()) {
-            throw new ConfigException(key, "is missing (or " + variable + ")");
+            String or = variable.isEmpty() ? "" : " (or " + variable + ")";
+            throw new ConfigException(key, "is missing" + or);
         }
         return value;
     }
--- a/src/main/java/wheelroute/decision/Policy.java
+++ b/src/main/java/wheelroute/decision/Policy.java
@@ -234,6 +234,7 @@
         private int out;
         private boolean done;
         private boolean streaming;
+        private boolean unusable;
 
         private Handle(Submission submission, Row row) {
             this.submission = submission;
@@ -303,6 +304,7 @@
             }
             launch.worker.reported(report);
             launch.worker.learn(launch, outcome);
+            unusable |= outcome == Outcome.UNUSABLE;
             if (over || outcome == Outcome.ANSWERED) {
                 done = true;
                 callOff();
@@ -331,7 +333,7 @@
 
         /** Rule 2, and the limits on copies and launches: whether one more launch anywhere can be right. */
         private boolean mayLaunch() {
-            if (done || streaming || launches.size() >= settings.mostLaunches()
+            if (done || streaming || unusable || launches.size() >= settings.mostLaunches()
                     || now > submission.outerLimit() - LAST_CALL || out > 0 && !settings.mayCopy()) {
                 return false;
             }
@@ -340,13 +342,12 @@
 
         /** Rule 2 for deduplicated submissions: only where, and while, the repeat is known as one. */
         private boolean mayGoTo(Worker w) {
-            boolean guarded = row.of.effect() == Effect.DEDUPLICATED;
             for (Launch launch : launches) {
                 if (launch.worker == w && (launch.isOut() || launch.outcome == Outcome.TURNED_AWAY)) {
                     return false;
                 }
-                if (guarded && launch.mayHaveRun() && (now > launch.sentAt + row.of.window() - TRANSIT
-                        || !row.sameGroup(launch.place, w.listing))) {
+                if (row.of.effect() == Effect.DEDUPLICATED && launch.mayHaveRun() && (now > launch.sentAt
+                        + row.of.window() - TRANSIT || !row.sameGroup(launch.place, w.listing))) {
                     return false;
                 }
             }
@@ -355,8 +356,8 @@
 
         /** Rule 2: a bounce tells the client that a retry does no harm. */
         private boolean mayBounce() {
-            return !mayHaveRun() || row.of.effect() == Effect.IDEMPOTENT
-                    || row.of.effect() == Effect.DEDUPLICATED && row.of.group() == Group.ALL;
+            return !mayHaveRun() || row.of.effect() == Effect.IDEMPOTENT && !unusable
+                    || row.of.effect() == Effect.DEDUPLICATED && row.of.group() == Group.ALL && !unusable;
         }
 
         /** Sends it to the cheapest worker, or gives it up at once if nothing is left to wait for. */
@@ -519,8 +520,7 @@
             double run = oldest.handle.work / w.speed();
             expected += settings.progressEvery() > 0 ? settings.progressEvery() : SILENCE_FACTOR * run;
         }
-        double since = Math.max(w.heardAt, oldest.sentAt);
-        if (now - since > SILENCE + SILENCE_FACTOR * expected) {
+        if (now - Math.max(w.heardAt, oldest.sentAt) > SILENCE + SILENCE_FACTOR * expected) {
             if (!w.silent) {
                 w.silent = true;
                 w.failed();
@@ -609,8 +609,8 @@
         void noteRunning() {
             int running = 0;
             for (Launch launch : out) {
-                boolean settled = launch.hasStarted() && now - launch.startedAt > SETTLED;
-                running += settled ? (int) launch.handle.slots : 0;
+                running += launch.hasStarted() && now - launch.startedAt > SETTLED
+                        ? (int) launch.handle.slots : 0;
             }
             model.slots = Math.max(model.slots, running);
         }
--- a/src/main/java/wheelroute/decision/Settings.java
+++ b/src/main/java/wheelroute/decision/Settings.java
@@ -27,6 +27,14 @@
         double tipWindow,
         double crossZonePrice) {
 
+    /** The seed is new with every file, and changes nothing that an operator set. */
+    public Settings withSeed(long other) {
+        return new Settings(other, zone, dispatchers, round, offerings, quotas, overShareValue,
+                listMustBeAsked, tellsStart, progressEvery, reportsFreeSlots, mayCancel, mayCopy,
+                clientsHearRetryAfter, longestRetryAfter, mostLaunches, coldShare, coldFor, tipMultiple,
+                tipWindow, crossZonePrice);
+    }
+
     /**
      * A row of the table of offerings.
      *
--- a/src/main/java/wheelroute/net/AnswerParser.java
+++ b/src/main/java/wheelroute/net/AnswerParser.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
@@ -20,9 +21,11 @@
     }
 
     private static final int MOST_HEAD = 8 * 1024;
+    /** As the standard reads answers: workers and discovery are ours, and what they say is checked. */
+    private static final HttpCompliance READING = HttpCompliance.RFC9110;
     private static final int FIRST_FINAL_STATUS = 200;
 
-    private final HttpParser parser = new HttpParser(this, MOST_HEAD);
+    private final HttpParser parser = new HttpParser(this, MOST_HEAD, READING);
     private final Reader reader;
     private int status;
     private IOException fault;
--- a/src/main/java/wheelroute/net/End.java
+++ b/src/main/java/wheelroute/net/End.java
@@ -12,7 +12,9 @@
     RETURNED,
     /** A status 503 or 504 with the mark that nothing was begun. */
     TURNED_AWAY,
-    /** A status that the protocol does not name. */
+    /** A status that finds fault with the submission itself. */
+    UNUSABLE,
+    /** Any other status that the protocol does not name. */
     ODD_STATUS,
     /** A last line that says that the job was killed. */
     LOST,
@@ -41,6 +43,7 @@
             case DONE -> Outcome.ANSWERED;
             case FAILED, ODD_STATUS -> Outcome.ERRED;
             case RETURNED, TURNED_AWAY -> Outcome.TURNED_AWAY;
+            case UNUSABLE -> Outcome.UNUSABLE;
             case LOST, BROKE, NONSENSE -> Outcome.BROKEN_OFF;
             case REFUSED, NEVER_UP, BROKE_UNSENT -> Outcome.UNCONNECTED;
             case CALLED_OFF -> Outcome.CANCELLED;
--- a/src/main/java/wheelroute/net/Exchange.java
+++ b/src/main/java/wheelroute/net/Exchange.java
@@ -137,7 +137,7 @@
                 // Only a fault in the decisions leaves it open here; nothing is promised about the effect.
                 answer(Counters.Kind.SCRAPPED, ClientAnswer.scrapped());
             }
-            exchanges.remove(submission.id());
+            exchanges.remove(submission.id(), message.id());
         });
     }
 
@@ -145,7 +145,7 @@
     private void closeIfOver() {
         if (answered && handle.isOver()) {
             limit.cancel();
-            exchanges.remove(submission.id());
+            exchanges.remove(submission.id(), message.id());
         }
     }
 }
--- a/src/main/java/wheelroute/net/Exchanges.java
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -3,16 +3,21 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wheelroute.decision.Dispatcher;
+import wheelroute.decision.Effect;
 import wheelroute.decision.Ids;
 import wheelroute.decision.Listing;
 import wheelroute.decision.Policy;
 import wheelroute.decision.Settings;
 import wheelroute.decision.Submission;
+import wheelroute.net.clients.BadMessage;
 import wheelroute.net.clients.ClientAnswer;
 import wheelroute.net.clients.ClientMessage;
 import wheelroute.net.clients.Clients;
@@ -38,7 +43,9 @@
     private final ArrayDeque<Runnable> turns = new ArrayDeque<>();
     private final Map<Ids.Submission, Exchange> open = new HashMap<>();
     private final Map<String, Ids.Worker> names = new HashMap<>();
-    private final Map<String, Ids.Offering> offerings = new HashMap<>();
+    /** The ids under which clients know the open ones. */
+    private final Set<String> openIds = new HashSet<>();
+    private final Map<String, Settings.Offering> offerings = new HashMap<>();
     private final Map<String, Ids.Tenant> tenants = new HashMap<>();
     private ListWatch watch;
     private boolean deciding;
@@ -53,7 +60,7 @@
         this.counters = counters;
         this.workers = workers;
         for (Settings.Offering offering : settings.offerings()) {
-            offerings.put(offering.id().name(), offering.id());
+            offerings.put(offering.id().name(), offering);
         }
         settings.quotas().keySet().forEach(tenant -> tenants.put(tenant.name(), tenant));
         policy = new Policy(settings, this);
@@ -94,26 +101,36 @@
         return workers;
     }
 
-    void remove(Ids.Submission id) {
-        open.remove(id);
+    void remove(Ids.Submission id, String clientsId) {
+        if (open.remove(id) != null) {
+            openIds.remove(clientsId);
+        }
     }
 
     // ---- from the clients
 
     @Override
-    public Taken take(ClientMessage message, Answers answers) {
-        Ids.Offering offering = offerings.get(message.offering());
+    public Taken take(ClientMessage message, Answers answers) throws BadMessage {
+        Settings.Offering offering = offerings.get(message.offering());
         if (offering == null) {
-            return null;
+            throw new BadMessage(HttpStatus.NOT_FOUND_404, "no such offering");
+        }
+        if (offering.effect() == Effect.DEDUPLICATED && message.mark() == null) {
+            throw new BadMessage(HttpStatus.BAD_REQUEST_400, "this offering needs an Idempotency-Key");
+        }
+        if (openIds.contains(message.id())) {
+            // Workers know jobs by it: a second would be told the first one's end, or spoil its connection.
+            throw new BadMessage(HttpStatus.CONFLICT_409, "a submission with this id is open");
         }
         // Tenants without a share need no name of their own: a client must not fill memory with names.
         Ids.Tenant tenant = tenants.getOrDefault(message.tenant(), new Ids.Tenant(""));
         double margin = Math.min(ANSWER_MARGIN, ANSWER_MARGIN_PART * message.timeout());
-        Submission submission = new Submission(new Ids.Submission(++lastSubmission), offering, tenant,
+        Submission submission = new Submission(new Ids.Submission(++lastSubmission), offering.id(), tenant,
                 loop.now() + message.timeout() - margin, message.hint(), message.slots(), message.memory(),
                 message.repeated());
         Exchange exchange = new Exchange(this, loop, submission, message, answers);
         open.put(submission.id(), exchange);
+        openIds.add(message.id());
         counters.count(Counters.Kind.TAKEN);
         turn(() -> exchange.begin(policy));
         return exchange;
@@ -131,7 +148,11 @@
 
     // ---- from discovery
 
+    /** The watch from now on: what another one may still bring counts for nothing. */
     void watch(ListWatch newWatch) {
+        if (watch != null) {
+            watch.stop();
+        }
         watch = newWatch;
     }
 
--- a/src/main/java/wheelroute/net/Link.java
+++ b/src/main/java/wheelroute/net/Link.java
@@ -7,6 +7,9 @@
 
 /** A connection of any kind of peer: it reads whatever comes, from its opening on. */
 public abstract class Link extends AbstractConnection {
+    /** Reads in a row on one connection: a sender at full speed must leave the others their turns. */
+    private static final int MOST_READS = 4;
+
     protected final Loop loop;
 
     protected Link(EndPoint endPoint, Loop loop) {
@@ -40,7 +43,11 @@
     @Override
     public void onFillable() {
         try {
-            while (getEndPoint().isOpen() && wantsMore()) {
+            for (int reads = 0; getEndPoint().isOpen() && wantsMore(); reads++) {
+                if (reads == MOST_READS) {
+                    fillInterested();
+                    return;
+                }
                 ByteBuffer in = loop.readBuffer();
                 int got = getEndPoint().fill(in);
                 if (got > 0) {
--- a/src/main/java/wheelroute/net/MessageReader.java
+++ b/src/main/java/wheelroute/net/MessageReader.java
@@ -11,11 +11,14 @@
 public abstract class MessageReader implements HttpParser.HttpHandler {
     /** By their names in small letters; of several of one name the last. */
     protected final Map<String, String> fields = new HashMap<>();
+    /** A name that came more than once; null for none. */
+    protected String repeated;
     private boolean keepsOpen;
     private boolean complete;
 
     protected void begin(HttpVersion version) {
         fields.clear();
+        repeated = null;
         keepsOpen = version == HttpVersion.HTTP_1_1;
     }
 
@@ -37,7 +40,9 @@
     @Override
     public void parsedHeader(HttpField field) {
         String name = field.getName().toLowerCase(Locale.ROOT);
-        fields.put(name, field.getValue() == null ? "" : field.getValue());
+        if (fields.put(name, field.getValue() == null ? "" : field.getValue()) != null) {
+            repeated = name;
+        }
         if (name.equals("connection") && field.contains("close")) {
             keepsOpen = false;
         }
--- a/src/main/java/wheelroute/net/Service.java
+++ b/src/main/java/wheelroute/net/Service.java
@@ -1,6 +1,8 @@
 package wheelroute.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -31,31 +33,36 @@
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
 
     private final Config config;
+    private InetSocketAddress discovery;
     private final Loop loop;
     private final Counters counters = new Counters();
     private final Workers workers;
+    private final CompletableFuture<Void> listening = new CompletableFuture<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private Exchanges exchanges;
     private Clients clients;
 
     public Service(Config config) {
         this.config = config;
+        discovery = config.discovery();
         loop = new Loop(new Clock(), config.connectLimit());
         workers = new Workers(loop, counters, part(WORKERS_PART), config.idleLimit());
+        // Ahead of all else that may be posted: a signal can come before the start is through.
+        loop.post(this::assembleFirst);
+    }
+
+    private void assembleFirst() {
+        try {
+            assemble();
+            listening.complete(null);
+        } catch (ConfigException | RuntimeException e) {
+            listening.completeExceptionally(e);
+        }
     }
 
     /** Returns once clients are listened to. */
     public void start() throws Exception {
         loop.start();
-        CompletableFuture<Void> listening = new CompletableFuture<>();
-        loop.post(() -> {
-            try {
-                assemble();
-                listening.complete(null);
-            } catch (ConfigException | RuntimeException e) {
-                listening.completeExceptionally(e);
-            }
-        });
         try {
             listening.get();
         } catch (ExecutionException e) {
@@ -66,13 +73,13 @@
 
     private void assemble() throws ConfigException {
         exchanges = new Exchanges(loop, counters, workers, config.settings());
-        long version = -1;
+        long version = ListWatch.NOTHING;
         if (config.known() != null) {
             WorkerList known = known();
             version = known.version();
             exchanges.listed(known, true);
         }
-        exchanges.watch(new ListWatch(loop, config.discovery(), counters, exchanges, version));
+        exchanges.watch(new ListWatch(loop, discovery, counters, exchanges, version));
         clients = new Clients(loop, exchanges, counters, part(CLIENTS_PART));
         exchanges.clients(clients);
         try {
@@ -99,6 +106,30 @@
         return clients.port();
     }
 
+    /** From any thread: applies what can be of a configuration read anew; a faulty one changes nothing. */
+    public void reload(Callable<Config> reader) {
+        loop.post(() -> {
+            try {
+                apply(reader.call());
+            } catch (Exception e) {
+                LOG.warn("the new configuration is not used: {}", e.getMessage());
+            }
+        });
+    }
+
+    private void apply(Config fresh) {
+        config.waitingForRestart(fresh).forEach(key -> LOG.warn("a change of '{}' waits for a restart", key));
+        if (fresh.discovery().equals(discovery)) {
+            LOG.info("read again: discovery stays {}", discovery);
+            return;
+        }
+        discovery = fresh.discovery();
+        LOG.info("read again: discovery is {} now", discovery);
+        ListWatch next = new ListWatch(loop, discovery, counters, exchanges, ListWatch.NOTHING);
+        exchanges.watch(next);
+        next.hurry();
+    }
+
     /** From any thread: answers what was taken, then returns. */
     public void drain() throws Exception {
         loop.post(this::beginDrain);
--- a/src/main/java/wheelroute/net/clients/BadMessage.java
+++ b/src/main/java/wheelroute/net/clients/BadMessage.java
@@ -5,7 +5,7 @@
     private static final long serialVersionUID = 1L;
     private final int status;
 
-    BadMessage(int status, String fault) {
+    public BadMessage(int status, String fault) {
         super(fault);
         this.status = status;
     }
--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -1,5 +1,6 @@
 package wheelroute.net.clients;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpStatus;
@@ -12,8 +13,12 @@
 final class ClientConnection extends Link implements Submitters.Answers {
     /** How long a closing connection swallows what still comes: a reset would take the answer with it. */
     private static final double LINGER = 1;
-    /** The largest message takes a moment on any network worth the name. */
-    private static final double SLOW = 5;
+    /** For a first message from the connection's opening on, and for every later one from its first byte. */
+    private static final double PATIENCE = 2.4;
+    /** What lies unread when that is over, after a pause of the whole process, is read within this. */
+    private static final double LAST_LOOK = 0.2;
+    /** Who says nothing for so long may lose its place when places are wanted. */
+    private static final double SILENT = 0.5;
 
     private final Clients clients;
     private final ClientDecoder decoder;
@@ -22,7 +27,10 @@
     private boolean unanswered;
     private boolean lastMessage;
     private boolean begun;
-    private double begunAt;
+    private boolean hasSpoken;
+    private boolean hasSubmitted;
+    private double openedAt;
+    private Loop.Timer patience;
     private boolean lingering;
     private boolean turnedAway;
     /** What came before its turn, one read at most: nothing more is read until the answer is out. */
@@ -36,8 +44,23 @@
 
     @Override
     public void onOpen() {
+        openedAt = loop.now();
         turnedAway = !clients.opened(this);
         super.onOpen();
+        waitForMessage();
+    }
+
+    /** Guards against heads and bodies without end, and against those who connect and say nothing. */
+    private void waitForMessage() {
+        patience = loop.later(PATIENCE, () -> patience = loop.later(LAST_LOOK, this::outOfPatience));
+    }
+
+    private void outOfPatience() {
+        if (begun) {
+            refuse(new BadMessage(HttpStatus.REQUEST_TIMEOUT_408, "the message has not come in time"));
+        } else {
+            close();
+        }
     }
 
     @Override
@@ -69,13 +92,17 @@
             return;
         }
         try {
-            begunAt = begun ? begunAt : loop.now();
+            if (!begun && hasSpoken) {
+                waitForMessage();
+            }
             begun = true;
             ClientMessage message = decoder.decode(in);
             if (message == null) {
                 return;
             }
+            patience.cancel();
             begun = false;
+            hasSpoken = true;
             waiting = true;
             lastMessage = !message.keepsOpen();
             if (in.hasRemaining()) {
@@ -83,13 +110,19 @@
             }
             handle(message);
         } catch (BadMessage e) {
-            clients.notTaken();
-            lastMessage = true;
-            waiting = true;
-            answer(ClientAnswer.of(e.status(), e.getMessage()));
+            refuse(e);
         }
     }
 
+    /** What cannot be read: where the next message begins is not known either, so this is the last answer. */
+    private void refuse(BadMessage e) {
+        patience.cancel();
+        clients.notTaken();
+        lastMessage = true;
+        waiting = true;
+        answer(ClientAnswer.of(e.status(), e.getMessage()));
+    }
+
     private void handle(ClientMessage message) {
         clients.heard(this);
         if (message.method().equals("GET")) {
@@ -112,15 +145,22 @@
             clients.notTaken();
             answer(ClientAnswer.of(HttpStatus.BAD_REQUEST_400, "X-Request-ID or X-Timeout is missing"));
         } else {
-            unanswered = true;
+            submit(message);
+        }
+    }
+
+    private void submit(ClientMessage message) {
+        unanswered = true;
+        try {
             Submitters.Taken now = clients.take(message, this);
-            if (now == null) {
-                clients.notTaken();
-                answer(ClientAnswer.of(HttpStatus.NOT_FOUND_404, "no such offering"));
-            } else if (unanswered) {
+            hasSubmitted = true;
+            if (unanswered) {
                 // Else it was answered as it was taken, and there is nobody to tell that the client left.
                 taken = now;
             }
+        } catch (BadMessage e) {
+            clients.notTaken();
+            answer(ClientAnswer.of(e.status(), e.getMessage()));
         }
     }
 
@@ -167,14 +207,30 @@
         return lingering;
     }
 
-    /** A message has been on its way for so long that others may have its place. */
-    boolean isSlow() {
-        return begun && !waiting && loop.now() - begunAt > SLOW;
+    /** Between two messages, with none begun; one that has not spoken yet may have its first on the way. */
+    boolean isIdle() {
+        return hasSpoken && !waiting && !begun && !lingering;
     }
 
-    /** Between two submissions, with none begun. */
-    boolean isIdle() {
-        return !waiting && !begun && !lingering;
+    /** Idle, and what it sent so far was no submission. */
+    boolean isIdleVisitor() {
+        return isIdle() && !hasSubmitted;
+    }
+
+    /** Has said nothing for longer than a client with a submission would, and nothing of it lies unread. */
+    boolean isSilent() {
+        if (hasSpoken || begun || loop.now() - openedAt < SILENT) {
+            return false;
+        }
+        try {
+            ByteBuffer peeked = loop.peekBuffer();
+            if (getEndPoint().fill(peeked) > 0) {
+                read(peeked);
+            }
+            return !begun;
+        } catch (IOException e) {
+            return true;
+        }
     }
 
     private void ended() {
@@ -198,6 +254,9 @@
 
     @Override
     public void close() {
+        if (patience != null) {
+            patience.cancel();
+        }
         decoder.release();
         clients.closed(this);
         super.close();
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -4,7 +4,11 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
@@ -17,9 +21,22 @@
     /** Far more than the protocol's headers need, and bounded: many clients share little memory. */
     static final int MOST_HEAD = 8 * 1024;
     private static final double MICROS = 1e6;
+    /** No deviation is let through: what two readers may read in two ways could hide a message in another. */
+    private static final HttpCompliance READING = HttpCompliance.STRICT;
+    /** Decimals as a person writes them: what only Java reads ("1e9", "0x1p3", "NaN") no worker need read. */
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
+    /** What a request line may hold (RFC 3986), with whole escapes: anything else a worker may close on. */
+    private static final Pattern TARGET = Pattern.compile(
+            "/([A-Za-z0-9/?:@!$&'()*+,;=._~-]|%[0-9A-Fa-f]{2})*");
+    /** Ids and keys go on as they are: visible characters only, and no more than a line of them. */
+    private static final Pattern WORD = Pattern.compile("[!-~]{1,256}");
+    /** Fields that are read or go on: of two values each reader might take another. */
+    private static final Set<String> SINGLE = Set.of("host", "content-length", "transfer-encoding",
+            "x-request-id", "x-timeout", "idempotency-key", "x-route-key", "x-cost", "x-attrs", "x-retried",
+            "x-tenant-id");
     private static final byte[] NO_BODY = {};
 
-    private final HttpParser parser = new HttpParser(this, MOST_HEAD);
+    private final HttpParser parser = new HttpParser(this, MOST_HEAD, READING);
     private final Room room;
     private byte[] body = NO_BODY;
     private int filled;
@@ -47,7 +64,7 @@
                 parser.parseNext(in);
             } catch (RuntimeException e) {
                 // Some nonsense is told so, the rest as a bad message: neither ends more than its connection.
-                throw new BadMessage(HttpStatus.BAD_REQUEST_400, "no HTTP message");
+                throw bad("no HTTP message");
             }
         }
         if (fault != null) {
@@ -62,6 +79,12 @@
     }
 
     private ClientMessage message() throws BadMessage {
+        if (!TARGET.matcher(target).matches()) {
+            throw bad("the target is no path with a query");
+        }
+        word("x-request-id");
+        word("idempotency-key");
+        word("x-route-key");
         String tenant = fields.get("x-tenant-id");
         Map<String, String> attrs = attrs();
         return new ClientMessage(method, target, fields.get("x-request-id"), fields.get("idempotency-key"),
@@ -79,7 +102,7 @@
         for (String pair : text.isEmpty() ? new String[0] : text.split(",")) {
             int eq = pair.indexOf('=');
             if (eq < 1) {
-                throw new BadMessage(HttpStatus.BAD_REQUEST_400, "X-Attrs is not name=value: " + pair);
+                throw bad("X-Attrs is not name=value: " + pair);
             }
             attrs.put(pair.substring(0, eq).trim(), pair.substring(eq + 1).trim());
         }
@@ -90,15 +113,21 @@
         if (text == null) {
             return absent;
         }
-        try {
-            double value = Double.parseDouble(text);
-            if (value >= 0 && value < Double.POSITIVE_INFINITY) {
-                return value;
-            }
-        } catch (NumberFormatException e) {
-            // Told below, as a number below 0 is.
+        if (!NUMBER.matcher(text).matches()) {
+            throw bad(name + " is not a plain number from 0 on: " + text);
+        }
+        return Double.parseDouble(text);
+    }
+
+    private void word(String name) throws BadMessage {
+        String value = fields.get(name);
+        if (value != null && !WORD.matcher(value).matches()) {
+            throw bad(name + " cannot go on as it is");
         }
-        throw new BadMessage(HttpStatus.BAD_REQUEST_400, name + " is not a number from 0 on: " + text);
+    }
+
+    private static BadMessage bad(String fault) {
+        return new BadMessage(HttpStatus.BAD_REQUEST_400, fault);
     }
 
     @Override
@@ -108,10 +137,26 @@
         begin(version);
     }
 
+    @Override
+    public void parsedHeader(HttpField field) {
+        String before = repeated;
+        super.parsedHeader(field);
+        // Lists may come in several fields of one name; what we read or pass on may not.
+        repeated = repeated != null && SINGLE.contains(repeated) ? repeated : before;
+    }
+
     @Override
     public boolean headerComplete() {
         release();
-        if (parser.getContentLength() > MOST_BODY) {
+        String coding = fields.get("transfer-encoding");
+        if (repeated != null) {
+            fault = bad(repeated + " comes more than once");
+        } else if (coding != null
+                && (!coding.equalsIgnoreCase("chunked") || fields.containsKey("content-length"))) {
+            fault = bad("the body's end cannot be told for certain");
+        } else if (fields.containsKey("expect")) {
+            fault = new BadMessage(HttpStatus.EXPECTATION_FAILED_417, "the body must come unasked");
+        } else if (parser.getContentLength() > MOST_BODY) {
             fault = tooLarge();
         }
         return fault != null;
@@ -150,7 +195,7 @@
 
     @Override
     public void earlyEOF() {
-        fault = new BadMessage(HttpStatus.BAD_REQUEST_400, "the message ends early");
+        fault = bad("the message ends early");
     }
 
     @Override
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -19,7 +19,7 @@
 public final class Clients implements Loop.Peer {
     /** Beyond the bound this part of it more is told to go away, each in a moment; the rest is closed. */
     private static final double TURNED_AWAY_PART = 0.06;
-    /** A connection on which nothing comes for so long is closed: slow senders must not fill the bound. */
+    /** A connection idle for so long between two messages is closed: its client may be long gone. */
     private static final long IDLE_MILLIS = 120_000;
     /** Bytes of bodies held for all clients: a quarter of the heap that the operators' limit leaves us. */
     private static final long MOST_HELD = 24L << 20;
@@ -59,12 +59,14 @@
         // An accepted connection that broke at once: nothing was taken on it.
     }
 
-    /** False when it is one too many, and none that is done, idle or slow can make room. */
+    /** False when it is one too many, and none that is done, idle or silent can make room. */
     boolean opened(ClientConnection connection) {
         counters.count(Counters.Kind.CLIENTS_OPENED);
         if (open.size() >= most) {
-            first(ClientConnection::isLingering).or(() -> first(ClientConnection::isIdle))
-                    .or(() -> first(ClientConnection::isSlow)).ifPresent(ClientConnection::close);
+            // Last those who submitted before: they keep connections in order to use them.
+            first(ClientConnection::isLingering).or(() -> first(ClientConnection::isIdleVisitor))
+                    .or(() -> first(ClientConnection::isSilent)).or(() -> first(ClientConnection::isIdle))
+                    .ifPresent(ClientConnection::close);
         }
         open.add(connection);
         if (open.size() > most + 1 + TURNED_AWAY_PART * most) {
@@ -100,7 +102,7 @@
         counters.count(Counters.Kind.NOT_TAKEN);
     }
 
-    Submitters.Taken take(ClientMessage message, Submitters.Answers answers) {
+    Submitters.Taken take(ClientMessage message, Submitters.Answers answers) throws BadMessage {
         return submitters.take(message, answers);
     }
 
--- a/src/main/java/wheelroute/net/clients/Submitters.java
+++ b/src/main/java/wheelroute/net/clients/Submitters.java
@@ -13,8 +13,8 @@
         void answer(ClientAnswer answer);
     }
 
-    /** Null when it is not taken: there is no such offering. */
-    Taken take(ClientMessage message, Answers answers);
+    /** What is not taken is told why: for want of such an offering, say. */
+    Taken take(ClientMessage message, Answers answers) throws BadMessage;
 
     boolean isDraining();
 
--- a/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -37,6 +37,13 @@
     /** The largest list that is read: some thousands of workers, and yet a bound. */
     private static final int MOST_LIST = 1 << 20;
     private static final double MILLIS = 1e3;
+    /** The version of who knows nothing yet. */
+    public static final long NOTHING = -1;
+    /** A new address must have told the whole list within 4 s: until then failures are not waited out. */
+    private static final double HURRY = 4;
+    /** In a hurry a call that holds nothing has this long: two more may follow it in time. */
+    private static final double HURRIED_SILENCE = 1.2;
+    private static final double HURRIED_PAUSE = 0.2;
     private static final Logger LOG = LoggerFactory.getLogger(ListWatch.class);
 
     private final Loop loop;
@@ -47,26 +54,48 @@
     private boolean wantsWhole;
     private Call call;
     private Loop.Timer silence;
+    private double hurryUntil = Double.NEGATIVE_INFINITY;
+    private boolean stopped;
 
-    /** Version -1 when nothing is known. */
     public ListWatch(Loop loop, InetSocketAddress address, Counters counters, Hearer hearer, long version) {
         this.loop = loop;
         this.address = address;
         this.counters = counters;
         this.hearer = hearer;
         this.version = version;
-        wantsWhole = version < 0;
+        wantsWhole = version == NOTHING;
     }
 
     /** Begins to watch, unless it is under way. */
     public void watch() {
-        if (call == null) {
+        if (call == null && !stopped) {
             call = new Call();
             loop.connect(address, call);
-            waitFor(WHOLE_SILENCE);
+            waitFor(wholeSilence());
         }
     }
 
+    /** Begins to watch in place of another that has ended: the whole list is wanted, and soon. */
+    public void hurry() {
+        hurryUntil = loop.now() + HURRY;
+        watch();
+    }
+
+    /** Ends it for good; neither its end nor what comes late is told. */
+    public void stop() {
+        stopped = true;
+        if (call != null) {
+            Call last = call;
+            call = null;
+            silence.cancel();
+            last.close();
+        }
+    }
+
+    private double wholeSilence() {
+        return loop.now() < hurryUntil ? HURRIED_SILENCE : WHOLE_SILENCE;
+    }
+
     private void waitFor(double limit) {
         if (silence != null) {
             silence.cancel();
@@ -84,7 +113,11 @@
         silence.cancel();
         call = null;
         which.close();
-        hearer.listFailed();
+        if (loop.now() < hurryUntil) {
+            loop.later(HURRIED_PAUSE, this::watch);
+        } else {
+            hearer.listFailed();
+        }
     }
 
     /** Takes an answer; true when it told something. */
@@ -102,6 +135,7 @@
         }
         version = list.version();
         wantsWhole = false;
+        hurryUntil = Double.NEGATIVE_INFINITY;
         hearer.listed(list);
         return list.whole() || !list.entries().isEmpty();
     }
@@ -139,7 +173,7 @@
             askedAt = loop.now();
             String changes = "?from=" + version + "&hold_ms=" + HOLD_MILLIS;
             String target = "/v1/servers" + (wantsWhole ? "" : changes);
-            waitFor(wantsWhole ? WHOLE_SILENCE : HOLD_MILLIS / MILLIS + SILENCE);
+            waitFor(wantsWhole ? wholeSilence() : HOLD_MILLIS / MILLIS + SILENCE);
             endPoint.write(Callback.from(() -> { }, cause -> loop.post(() -> failed(cause))),
                     new HttpText("GET " + target + " HTTP/1.1")
                     .field("Host", address.getHostString() + ":" + address.getPort()).noBody());
--- a/src/test/java/wheelroute/RulesTest.java
+++ b/src/test/java/wheelroute/RulesTest.java
@@ -22,6 +22,8 @@
             {Effect.IDEMPOTENT, Group.CELL, Outcome.BROKEN_OFF, "launch"},
             {Effect.IDEMPOTENT, Group.CELL, Outcome.TURNED_AWAY, "launch"},
             {Effect.IDEMPOTENT, Group.CELL, Outcome.ANSWERED, "launch"},
+            {Effect.IDEMPOTENT, Group.CELL, Outcome.UNUSABLE, "scrap"},
+            {Effect.DEDUPLICATED, Group.ALL, Outcome.UNUSABLE, "scrap"},
             {Effect.DEDUPLICATED, Group.CELL, Outcome.ERRED, "launch"},
             {Effect.DEDUPLICATED, Group.ALL, Outcome.UNKNOWN, "launch"},
             {Effect.UNREPEATABLE, Group.CELL, Outcome.TURNED_AWAY, "launch"},
@@ -46,6 +48,15 @@
         assertEquals(handle.isOver(), launches == 1);
     }
 
+    /** Bad noise teaches nothing: a fault of the submission's is held against no worker. */
+    @Test
+    public void whatIsUnusableSpoilsNoWorker() {
+        World w = new World(new World.Given()).list(2);
+        assertEquals(w.launchesToBad(12, 0.1, worker -> worker == 1, Outcome.ERRED) > 3, false);
+        World other = new World(new World.Given()).list(2);
+        assertTrue(other.launchesToBad(12, 0.1, worker -> worker == 1, Outcome.UNUSABLE) > 3);
+    }
+
     @DataProvider
     public Object[][] repeats() {
         return new Object[][] {
--- /dev/null
+++ b/src/test/java/wheelroute/net/LinkTest.java
@@ -0,0 +1,45 @@
+package wheelroute.net;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.testng.annotations.Test;
+
+/** One connection's reads, beside the others that wait for theirs. */
+public class LinkTest {
+    /** Guards against one sender at full speed that keeps the thread from all others. */
+    @Test
+    public void leavesTheOthersTheirTurns() {
+        int[] reads = new int[1];
+        ByteArrayEndPoint endless = new ByteArrayEndPoint() {
+            @Override
+            public int fill(ByteBuffer buffer) {
+                reads[0]++;
+                return 1;
+            }
+        };
+        Link link = new Link(endless, new Loop(new Clock(), 1)) {
+            @Override
+            protected void received(ByteBuffer in) {
+                if (reads[0] > 100) {
+                    throw new IllegalStateException("it never ends");
+                }
+            }
+
+            @Override
+            protected void atEnd() {
+                // Such a sender has none.
+            }
+
+            @Override
+            protected void broke(Throwable cause) {
+                reads[0] = -1;
+            }
+        };
+        endless.setConnection(link);
+        link.onFillable();
+        assertEquals(reads[0], 4);
+        assertEquals(link.isFillInterested(), true);
+    }
+}
