A dispatcher that is alone serves its kept connections until its end

The log showed a drain that ended by itself after 3 s with nothing refused.

New connections stop within 0.4 s of the signal, and with one dispatcher there is nobody else: every connection that Clients.stopListening closed and every answer with "Connection: close" (ClientConnection.answer) took a client's only way in.

Changed: where settings name one dispatcher, kept connections stay and are served until the drain's end, now 3.45 s after the signal (it was 3; the process is killed after 3.7). A submission whose hint says that it will not fit in is bounced at once, and every bounce of such a drain tells the client to come back when a restart is through, as far as settings allow. With several dispatchers clients are handed over as before.

Also: hundreds of silent connections at once pushed out idle ones of clients that submit (a test's EOF showed it); a crowd of unknown ones no longer does.

--- a/src/main/java/wheelroute/net/Exchanges.java
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -34,11 +34,17 @@
      */
     private static final double ANSWER_MARGIN = 0.08;
     private static final double ANSWER_MARGIN_PART = 0.1;
+    /** While draining, a submission is taken if so many times its hint and this wait still fit in. */
+    private static final double DRAIN_STRETCH = 2;
+    private static final double DRAIN_WAIT = 0.2;
+    /** From the drain's end until a restarted dispatcher serves again, with the platform's share of it. */
+    private static final double RESTART = 1.8;
     private static final Logger LOG = LoggerFactory.getLogger(Exchanges.class);
 
     private final Loop loop;
     private final Counters counters;
     private final Workers workers;
+    private final Settings settings;
     private final Policy policy;
     private final ArrayDeque<Runnable> turns = new ArrayDeque<>();
     private final Map<Ids.Submission, Exchange> open = new HashMap<>();
@@ -50,6 +56,7 @@
     private ListWatch watch;
     private boolean deciding;
     private boolean draining;
+    private double drainEnd;
     private boolean ended;
     private long lastSubmission;
     private long lastWorker;
@@ -59,6 +66,7 @@
         this.loop = loop;
         this.counters = counters;
         this.workers = workers;
+        this.settings = settings;
         for (Settings.Offering offering : settings.offerings()) {
             offerings.put(offering.id().name(), offering);
         }
@@ -122,6 +130,11 @@
             // Workers know jobs by it: a second would be told the first one's end, or spoil its connection.
             throw new BadMessage(HttpStatus.CONFLICT_409, "a submission with this id is open");
         }
+        if (isTooLate(message)) {
+            counters.count(Counters.Kind.NOT_TAKEN);
+            answers.answer(ClientAnswer.bounced(adviceFor(0)));
+            return () -> { };
+        }
         // Tenants without a share need no name of their own: a client must not fill memory with names.
         Ids.Tenant tenant = tenants.getOrDefault(message.tenant(), new Ids.Tenant(""));
         double margin = Math.min(ANSWER_MARGIN, ANSWER_MARGIN_PART * message.timeout());
@@ -202,7 +215,7 @@
 
     @Override
     public void bounce(Ids.Submission submission, double retryAfter) {
-        open.get(submission).answer(Counters.Kind.BOUNCED, ClientAnswer.bounced(retryAfter));
+        open.get(submission).answer(Counters.Kind.BOUNCED, ClientAnswer.bounced(adviceFor(retryAfter)));
     }
 
     @Override
@@ -228,8 +241,32 @@
 
     // ---- the end
 
-    void drain() {
+    void drain(double end) {
         draining = true;
+        drainEnd = end;
+    }
+
+    /**
+     * Where there are other dispatchers clients are sent to them. One that is alone serves on until its end:
+     * who loses a connection to it finds nobody else, and cannot come back before it is up again.
+     */
+    @Override
+    public boolean closesConnections() {
+        return draining && (settings.dispatchers() > 1 || ended);
+    }
+
+    /** The hint is rough and there may be a queue: what is unlikely to end in time had better come back. */
+    private boolean isTooLate(ClientMessage message) {
+        double run = Double.isNaN(message.hint()) ? Double.POSITIVE_INFINITY : message.hint();
+        return draining && !closesConnections() && loop.now() + DRAIN_STRETCH * run + DRAIN_WAIT > drainEnd;
+    }
+
+    /** Guards against retries used up while nobody listens: who is bounced may come back when we are up. */
+    private double adviceFor(double retryAfter) {
+        if (!draining || settings.dispatchers() > 1 || !settings.clientsHearRetryAfter()) {
+            return retryAfter;
+        }
+        return Math.min(settings.longestRetryAfter(), drainEnd + RESTART - loop.now());
     }
 
     long unanswered() {
--- a/src/main/java/wheelroute/net/Service.java
+++ b/src/main/java/wheelroute/net/Service.java
@@ -24,8 +24,10 @@
     private static final double WORKERS_PART = 0.42;
     /** New connections go on coming so long after the signal to end. */
     private static final double STILL_LISTENING = 0.45;
-    /** All that was taken is answered within this, or within the longest outer limit if that is less. */
+    /** The process is killed 0.7 s after this, or after the longest outer limit if that is less. */
     private static final double LONGEST_DRAIN = 3;
+    /** Of that 0.7 s so much is used: the rest is for a busy core to get the last answers out. */
+    private static final double SPARE = 0.45;
     /** How often it is looked whether the last answer has gone out. */
     private static final double LOOK = 0.02;
     /** For the last answers' bytes to leave: the process ends its connections when it goes. */
@@ -139,8 +141,8 @@
     }
 
     private void beginDrain() {
-        exchanges.drain();
-        double end = loop.now() + Math.min(LONGEST_DRAIN, config.longestOuterLimit());
+        double end = loop.now() + Math.min(LONGEST_DRAIN, config.longestOuterLimit()) + SPARE;
+        exchanges.drain(end);
         loop.later(STILL_LISTENING, () -> {
             try {
                 clients.stopListening();
@@ -152,7 +154,7 @@
     }
 
     private void look(double end) {
-        if (exchanges.unanswered() == 0) {
+        if (exchanges.unanswered() == 0 && (exchanges.closesConnections() || clients.open() == 0)) {
             loop.later(LAST_BYTES, drained::countDown);
         } else if (loop.now() >= end) {
             exchanges.giveUpAll();
--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -17,8 +17,8 @@
     private static final double PATIENCE = 2.4;
     /** What lies unread when that is over, after a pause of the whole process, is read within this. */
     private static final double LAST_LOOK = 0.2;
-    /** Who says nothing for so long may lose its place when places are wanted. */
-    private static final double SILENT = 0.5;
+    /** Who says nothing for so long may lose its place when places are wanted: a submission comes at once. */
+    private static final double SILENT = 0.15;
 
     private final Clients clients;
     private final ClientDecoder decoder;
@@ -172,7 +172,7 @@
         if (!getEndPoint().isOpen() || !waiting) {
             return;
         }
-        boolean last = lastMessage || clients.isDraining();
+        boolean last = lastMessage || clients.closesConnections();
         Callback written = Callback.from(() -> loop.post(() -> answered(last)),
                 cause -> loop.post(this::ended));
         getEndPoint().write(written, answer.encode(last));
@@ -217,6 +217,11 @@
         return isIdle() && !hasSubmitted;
     }
 
+    /** Has not spoken yet: it may be a client's as well as a stranger's. */
+    boolean isUnknown() {
+        return !hasSpoken;
+    }
+
     /** Has said nothing for longer than a client with a submission would, and nothing of it lies unread. */
     boolean isSilent() {
         if (hasSpoken || begun || loop.now() - openedAt < SILENT) {
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -19,6 +19,8 @@
 public final class Clients implements Loop.Peer {
     /** Beyond the bound this part of it more is told to go away, each in a moment; the rest is closed. */
     private static final double TURNED_AWAY_PART = 0.06;
+    /** More than this part that has not spoken yet is a crowd of strangers. */
+    private static final double CROWD_PART = 0.5;
     /** A connection idle for so long between two messages is closed: its client may be long gone. */
     private static final long IDLE_MILLIS = 120_000;
     /** Bytes of bodies held for all clients: a quarter of the heap that the operators' limit leaves us. */
@@ -63,9 +65,11 @@
     boolean opened(ClientConnection connection) {
         counters.count(Counters.Kind.CLIENTS_OPENED);
         if (open.size() >= most) {
-            // Last those who submitted before: they keep connections in order to use them.
+            // Last those who submitted before, and not for a crowd: they keep connections to use them.
+            boolean crowd = open.stream().filter(ClientConnection::isUnknown).count() > CROWD_PART * most;
             first(ClientConnection::isLingering).or(() -> first(ClientConnection::isIdleVisitor))
-                    .or(() -> first(ClientConnection::isSilent)).or(() -> first(ClientConnection::isIdle))
+                    .or(() -> first(ClientConnection::isSilent))
+                    .or(() -> crowd ? Optional.empty() : first(ClientConnection::isIdle))
                     .ifPresent(ClientConnection::close);
         }
         open.add(connection);
@@ -106,12 +110,12 @@
         return submitters.take(message, answers);
     }
 
-    boolean isDraining() {
-        return submitters.isDraining();
+    boolean closesConnections() {
+        return submitters.closesConnections();
     }
 
     ClientAnswer health() {
-        return isDraining() ? ClientAnswer.of(HttpStatus.SERVICE_UNAVAILABLE_503, "draining")
+        return submitters.isDraining() ? ClientAnswer.of(HttpStatus.SERVICE_UNAVAILABLE_503, "draining")
                 : ClientAnswer.of(HttpStatus.OK_200, "ok");
     }
 
@@ -119,9 +123,12 @@
         return submitters.metrics().getBytes(StandardCharsets.UTF_8);
     }
 
-    /** No new connections, and none kept between two submissions. */
+    /** No new connections, and none kept between two submissions but by a dispatcher that serves on. */
     public void stopListening() throws IOException {
         server.close();
+        if (!closesConnections()) {
+            return;
+        }
         for (ClientConnection connection : new ArrayList<>(open)) {
             if (connection.isIdle()) {
                 connection.close();
--- a/src/main/java/wheelroute/net/clients/Submitters.java
+++ b/src/main/java/wheelroute/net/clients/Submitters.java
@@ -18,5 +18,8 @@
 
     boolean isDraining();
 
+    /** Whether an answer is the last on its connection, as the process is about to end. */
+    boolean closesConnections();
+
     String metrics();
 }
--- a/src/test/java/wheelroute/World.java
+++ b/src/test/java/wheelroute/World.java
@@ -32,7 +32,7 @@
         public boolean mustAsk;
         boolean tellsStart = true;
         int mostLaunches = 6;
-        int dispatchers = 1;
+        public int dispatchers = 1;
         double retryAfter = 2;
 
         public Settings settings() {
--- a/src/test/java/wheelroute/net/ServiceTest.java
+++ b/src/test/java/wheelroute/net/ServiceTest.java
@@ -156,7 +156,12 @@
     }
 
     private void serve(Effect effect, int sockets, String known) throws Exception {
+        serve(effect, sockets, known, 1);
+    }
+
+    private void serve(Effect effect, int sockets, String known, int dispatchers) throws Exception {
         World.Given given = new World.Given();
+        given.dispatchers = dispatchers;
         given.effect = effect;
         given.mustAsk = true;
         given.mayCopy = false;
@@ -209,12 +214,12 @@
 
     @AfterMethod(alwaysRun = true)
     public void end() throws Exception {
-        if (service != null) {
-            service.drain();
-        }
         for (AutoCloseable one : new ArrayList<>(open)) {
             one.close();
         }
+        if (service != null) {
+            service.drain();
+        }
         open.clear();
         for (Stub stub : List.of(workers, discovery)) {
             stub.heard.clear();
@@ -470,6 +475,19 @@
         assertEquals(status(ask(fresh.get(0), post(10))), 200);
     }
 
+    /** Guards against hundreds who connect and say nothing: those who keep connections keep them. */
+    @Test(timeOut = PATIENCE)
+    public void aCrowdOfStrangersPushesNobodyOut() throws Exception {
+        workers.answers.addAll(List.of(DONE, DONE));
+        serve(Effect.IDEMPOTENT, 58, known(workers.listen()));
+        Socket kept = connect();
+        assertEquals(status(ask(kept, post(10))), 200);
+        for (int i = 0; i < 40; i++) {
+            connect();
+        }
+        assertEquals(status(ask(kept, post(10))), 200);
+    }
+
     /** Bytes ahead of their turn wait, however many: the answer under way must not be lost for them. */
     @Test(timeOut = PATIENCE)
     public void servesWhatCameAheadOfItsTurn() throws Exception {
@@ -589,15 +607,8 @@
         assertTrue(message.contains("'" + key + "'"), message);
     }
 
-    /** The end that a signal brings: what was taken is answered, and nothing after that is accepted. */
-    @Test(timeOut = PATIENCE)
-    public void answersAllBeforeItEnds() throws Exception {
-        workers.answers.addAll(List.of(HEAD + STARTED + STARTED));
-        serve(Effect.UNREPEATABLE, 1024, known(workers.listen()));
-        Socket waiting = connect();
-        waiting.getOutputStream().write(post(10).getBytes(StandardCharsets.UTF_8));
-        workers.next();
-        CompletableFuture<Void> ended = new CompletableFuture<>();
+    /** Tells the service to end, and waits until it says so to who asks. */
+    private String drain(CompletableFuture<Void> ended) throws IOException {
         Service draining = service;
         start(() -> {
             draining.drain();
@@ -607,6 +618,51 @@
         while (!health.startsWith("HTTP/1.1 503")) {
             health = ask(connect(), "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
         }
+        return health;
+    }
+
+    /** Who is alone serves its kept connections to the end, and tells the others when it will be back. */
+    @Test(timeOut = PATIENCE)
+    public void servesOnWhileItDrainsAlone() throws Exception {
+        workers.answers.addAll(List.of(DONE, DONE, TAKEN));
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        Socket kept = connect();
+        assertEquals(status(ask(kept, post(10))), 200);
+        Socket other = connect();
+        assertEquals(status(ask(other, post(10).replace("/job/", "/other/"))), 404);
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        drain(ended);
+        boolean listening = true;
+        while (listening) {
+            try (Socket next = connect()) {
+                ask(next, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+            } catch (IOException e) {
+                listening = false;
+            }
+        }
+        String served = ask(kept, post(10));
+        assertTrue(served.startsWith("HTTP/1.1 200") && !served.contains("Connection: close"), served);
+        other.getOutputStream().write(post(10).getBytes(StandardCharsets.UTF_8));
+        String late = ask(kept, post(10).replace("77", "78").replace("X-Cost: 20000", "X-Cost: 9000000"));
+        assertTrue(late.startsWith("HTTP/1.1 503") && late.contains("Retry-After: 2.0\r\n"), late);
+        String last = read(other.getInputStream());
+        assertTrue(last.startsWith("HTTP/1.1 503") && last.contains("Retry-After: 1.")
+                && last.contains("Connection: close"), last);
+        ended.get();
+        assertEquals(workers.messages.get(), 3);
+        service = null;
+    }
+
+    /** The end that a signal brings: what was taken is answered, and nothing after that is accepted. */
+    @Test(timeOut = PATIENCE)
+    public void answersAllBeforeItEnds() throws Exception {
+        workers.answers.addAll(List.of(HEAD + STARTED + STARTED));
+        serve(Effect.UNREPEATABLE, 1024, known(workers.listen()), 2);
+        Socket waiting = connect();
+        waiting.getOutputStream().write(post(10).getBytes(StandardCharsets.UTF_8));
+        workers.next();
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        String health = drain(ended);
         assertTrue(health.contains("Connection: close"), health);
         String answer = read(waiting.getInputStream());
         assertEquals(status(answer), 502, answer);
