A break of a kept connection blames no worker; quicker starts; the heap follows limits

WorkerConnection now tells such a break as End.STALE: it may have run, as before, but is held against nobody. Ruled out: a limit on idle time, as breaks came at any age.

There 0.6 s of CPU went to a start's first answer (one busy core): 0.1 to the log's first line (the runtime's formatter reads a locale), 0.1 to a calendar of Jetty's (the same), 0.05 to classes of a message's way that were in no archive. The drain now tries what may still end.

--- a/src/main/cds/record.sh
+++ b/src/main/cds/record.sh
@@ -1,15 +1,18 @@
-#!/bin/sh
+#!/usr/bin/env bash
 # Runs the program once in each of its ways and leaves the class-data archives of both beside the jar.
 # Called by the build, from the root, with the java to use.
 set -eu
 java=$1
-options="-Xlog:disable -XX:+UseSerialGC"
+options="-Xlog:disable -XX:+UseSerialGC -Djava.locale.providers=COMPAT"
 
 # shellcheck disable=SC2086
 "$java" -XX:ArchiveClassesAtExit=target/wheelroute.jsa $options -jar target/wheelroute.jar adapter \
     < src/main/cds/start.txt > target/cds.out
 
-LB_CONFIG=src/main/cds/serve.json "$java" -XX:ArchiveClassesAtExit=target/serve.jsa $options \
+# The service is its own worker and its own discovery here: so a message's whole way is in the archive.
+port=$((20000 + RANDOM % 20000))
+sed "s/PORT/$port/g" src/main/cds/serve.json > target/serve.json
+LB_CONFIG=target/serve.json "$java" -XX:ArchiveClassesAtExit=target/serve.jsa $options \
     -jar target/wheelroute.jar serve 2> target/serve.out &
 pid=$!
 tries=0
@@ -19,5 +22,12 @@
     [ "$tries" -lt 100 ] && kill -0 "$pid" || break
     sleep 0.1
 done
+for message in "GET /healthz" "POST /render"; do
+    # Whatever the answer: it is the way there that counts.
+    { printf '%s HTTP/1.1\r\nHost: a\r\nX-Request-ID: 1\r\nX-Timeout: 1\r\nX-Cost: 1000\r\nConnection: close\r\n' \
+        "$message"; printf 'Content-Length: 2\r\n\r\nhi'; cat <&3 > target/cds.out; } \
+        3<> "/dev/tcp/127.0.0.1/$port" >&3 || true
+done
+kill -HUP "$pid" || true
 kill -TERM "$pid" || true
 wait "$pid" || true
--- a/src/main/java/wheelroute/net/End.java
+++ b/src/main/java/wheelroute/net/End.java
@@ -28,6 +28,8 @@
     BROKE_UNSENT,
     /** It broke or ended before the worker's last line. */
     BROKE,
+    /** A kept connection broke before any byte of the answer to its next launch. */
+    STALE,
     /** What came is not the protocol, or speaks of another launch. */
     NONSENSE,
     /** The decisions called it off. */
@@ -44,6 +46,7 @@
             case FAILED, ODD_STATUS -> Outcome.ERRED;
             case RETURNED, TURNED_AWAY -> Outcome.TURNED_AWAY;
             case UNUSABLE -> Outcome.UNUSABLE;
+            case STALE -> Outcome.STALE;
             case LOST, BROKE, NONSENSE -> Outcome.BROKEN_OFF;
             case REFUSED, NEVER_UP, BROKE_UNSENT -> Outcome.UNCONNECTED;
             case CALLED_OFF -> Outcome.CANCELLED;
--- a/src/main/java/wheelroute/net/Exchanges.java
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -34,11 +34,15 @@
      */
     private static final double ANSWER_MARGIN = 0.08;
     private static final double ANSWER_MARGIN_PART = 0.1;
-    /** While draining, a submission is taken if so many times its hint and this wait still fit in. */
-    private static final double DRAIN_STRETCH = 2;
-    private static final double DRAIN_WAIT = 0.2;
+    /**
+     * While draining, a submission is taken if so many times its hint still fit in: hints are off by a factor
+     * of two either way, and one that can be bounced in the end loses nothing by the try.
+     */
+    private static final double DRAIN_STRETCH = 0.6;
+    private static final double DRAIN_STRETCH_ONCE = 1.5;
+    private static final double DRAIN_WAIT = 0.1;
     /** From the drain's end until a restarted dispatcher serves again, with the platform's share of it. */
-    private static final double RESTART = 1.8;
+    private static final double RESTART = 2;
     private static final Logger LOG = LoggerFactory.getLogger(Exchanges.class);
 
     private final Loop loop;
@@ -130,7 +134,7 @@
             // Workers know jobs by it: a second would be told the first one's end, or spoil its connection.
             throw new BadMessage(HttpStatus.CONFLICT_409, "a submission with this id is open");
         }
-        if (isTooLate(message)) {
+        if (isTooLate(message, offering.effect())) {
             counters.count(Counters.Kind.NOT_TAKEN);
             answers.answer(ClientAnswer.bounced(adviceFor(0)));
             return () -> { };
@@ -256,9 +260,10 @@
     }
 
     /** The hint is rough and there may be a queue: what is unlikely to end in time had better come back. */
-    private boolean isTooLate(ClientMessage message) {
+    private boolean isTooLate(ClientMessage message, Effect effect) {
+        double stretch = effect == Effect.IDEMPOTENT ? DRAIN_STRETCH : DRAIN_STRETCH_ONCE;
         double run = Double.isNaN(message.hint()) ? Double.POSITIVE_INFINITY : message.hint();
-        return draining && !closesConnections() && loop.now() + DRAIN_STRETCH * run + DRAIN_WAIT > drainEnd;
+        return draining && !closesConnections() && loop.now() + stretch * run + DRAIN_WAIT > drainEnd;
     }
 
     /** Guards against retries used up while nobody listens: who is bounced may come back when we are up. */
--- a/src/main/java/wheelroute/net/Service.java
+++ b/src/main/java/wheelroute/net/Service.java
@@ -27,11 +27,11 @@
     /** The process is killed 0.7 s after this, or after the longest outer limit if that is less. */
     private static final double LONGEST_DRAIN = 3;
     /** Of that 0.7 s so much is used: the rest is for a busy core to get the last answers out. */
-    private static final double SPARE = 0.45;
+    private static final double SPARE = 0.5;
     /** How often it is looked whether the last answer has gone out. */
     private static final double LOOK = 0.02;
     /** For the last answers' bytes to leave: the process ends its connections when it goes. */
-    private static final double LAST_BYTES = 0.1;
+    private static final double LAST_BYTES = 0.08;
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
 
     private final Config config;
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -23,14 +23,14 @@
     private static final double CROWD_PART = 0.5;
     /** A connection idle for so long between two messages is closed: its client may be long gone. */
     private static final long IDLE_MILLIS = 120_000;
-    /** Bytes of bodies held for all clients: a quarter of the heap that the operators' limit leaves us. */
-    private static final long MOST_HELD = 24L << 20;
+    /** Of the heap so much may be clients' bodies: what they become on their way is as much again. */
+    private static final double HELD_PART = 0.25;
 
     private final Loop loop;
     private final Submitters submitters;
     private final Counters counters;
     private final int most;
-    private final Room room = new Room(MOST_HELD);
+    private final Room room = new Room((long) (HELD_PART * Runtime.getRuntime().maxMemory()));
     private final Set<ClientConnection> open = new LinkedHashSet<>();
     private ServerSocketChannel server;
 
--- a/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -18,6 +18,9 @@
     private final LaunchDecoder decoder = new LaunchDecoder(this);
     private Flight flight;
     private Loop.Timer tail;
+    /** It has served a launch before, and nothing has come for the next one yet. */
+    private boolean kept;
+    private boolean unheard;
     /** An answer's last byte is still to come, or it will not be used again. */
     private boolean busy;
 
@@ -29,6 +32,8 @@
     void send(Flight next) {
         flight = next;
         busy = true;
+        unheard = kept;
+        kept = true;
         next.boarded(this);
         decoder.expect(next.message.id());
         double limit = Math.max(0, next.outerLimit - loop.now());
@@ -47,6 +52,7 @@
 
     @Override
     protected void received(ByteBuffer in) {
+        unheard = false;
         try {
             decoder.decode(in);
         } catch (IOException | RuntimeException e) {
@@ -69,7 +75,9 @@
     private void broke(End end) {
         close();
         if (flight != null) {
-            flight.end(flight.isWritten() ? end : End.BROKE_UNSENT);
+            // Workers end connections when they like: as failures these would put all on probation.
+            End told = unheard && end == End.BROKE ? End.STALE : end;
+            flight.end(flight.isWritten() ? told : End.BROKE_UNSENT);
         }
     }
 
--- /dev/null
+++ b/src/test/java/wheelroute/LogLinesTest.java
@@ -0,0 +1,22 @@
+package wheelroute;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Instant;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.testng.annotations.Test;
+
+/** What an operator reads in the log. */
+public class LogLinesTest {
+    @Test
+    public void tellsWhenAndWhere() {
+        LogRecord entry = new LogRecord(Level.WARNING, "it stays");
+        entry.setLoggerName("a.B");
+        entry.setInstant(Instant.parse("2026-02-28T03:04:05.006Z"));
+        assertEquals(new LogLines().format(entry), "2026-02-28 03:04:05.006Z WARNING a.B: it stays\n");
+        entry.setThrown(new IllegalStateException("why"));
+        assertTrue(new LogLines().format(entry).contains("IllegalStateException: why"));
+    }
+}
