--- a/src/main/java/wheelroute/net/Exchanges.java
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -41,9 +41,6 @@
     private static final double DRAIN_STRETCH = 0.6;
     private static final double DRAIN_STRETCH_ONCE = 1.5;
     private static final double DRAIN_WAIT = 0.1;
-    /** Kept connections that stay idle: one for a bounce, one idle beside it, one more before lesser ones. */
-    private static final int SPARE = 2;
-    private static final int SPARE_FOR_BETTER = 3;
     /** From the drain's end until a restarted dispatcher serves again, with the platform's share of it. */
     private static final double RESTART = 2;
     private static final Logger LOG = LoggerFactory.getLogger(Exchanges.class);
@@ -66,7 +63,6 @@
     private boolean deciding;
     private boolean draining;
     private double drainEnd;
-    private double mostValue;
     private boolean ended;
     private long lastSubmission;
     private long lastWorker;
@@ -80,7 +76,6 @@
         this.longestOuterLimit = longestOuterLimit;
         for (Settings.Offering offering : settings.offerings()) {
             offerings.put(offering.id().name(), offering);
-            mostValue = Math.max(mostValue, offering.value());
         }
         settings.quotas().keySet().forEach(tenant -> tenants.put(tenant.name(), tenant));
         policy = new Policy(settings, this);
@@ -268,9 +263,8 @@
     }
 
     /**
-     * Whether it had better come back when this drain of a dispatcher alone is over: it is unlikely to end in
-     * time, or it would hold one of the last connections. No new ones come by then; and once none was idle
-     * clients took the dispatcher for gone, and used the others no more either.
+     * Whether it had better come back when this drain of a dispatcher alone is over: the hint is rough and
+     * there may be a queue, but this one is unlikely to end in time.
      */
     private boolean mustComeBack(ClientMessage message, Settings.Offering offering) {
         if (!draining || closesConnections()) {
@@ -278,9 +272,7 @@
         }
         double stretch = offering.effect() == Effect.IDEMPOTENT ? DRAIN_STRETCH : DRAIN_STRETCH_ONCE;
         double run = Double.isNaN(message.hint()) ? Double.POSITIVE_INFINITY : message.hint();
-        int spare = offering.value() < mostValue ? SPARE_FOR_BETTER : SPARE;
-        return loop.now() + stretch * run + DRAIN_WAIT > drainEnd
-                || clients.idle() < spare;
+        return loop.now() + stretch * run + DRAIN_WAIT > drainEnd;
     }
 
     /** Guards against retries used up while nobody listens: who is bounced may come back when we are up. */
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -98,11 +98,6 @@
         open.remove(connection);
     }
 
-    /** Connections on which a submission could come at once. */
-    public int idle() {
-        return (int) open.stream().filter(ClientConnection::isIdle).count();
-    }
-
     public int open() {
         return open.size();
     }
