--- a/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
+++ b/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
@@ -117,6 +117,16 @@
         };
     }
 
+    /** Guards against a matcher that calls itself for each character: the stack's end was the thread's. */
+    @Test
+    public void readsTargetsAsLongAsAHead() throws BadMessage {
+        for (String part : new String[] {"a".repeat(7500), "%41".repeat(2500)}) {
+            String target = "/render/" + part;
+            String head = "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+            assertEquals(new ClientDecoder(new Room(ROOM)).decode(bytes(head)).target(), target);
+        }
+    }
+
     @Test(dataProvider = "bad")
     public void refusesWithTheRightStatus(String text, int status) {
         assertEquals(expectThrows(BadMessage.class, () -> {
