--- a/src/main/java/wheelroute/net/Exchanges.java
+++ b/src/main/java/wheelroute/net/Exchanges.java
@@ -257,9 +257,13 @@
      * Where there are other dispatchers clients are sent to them. One that is alone serves on until its end:
      * who loses a connection to it finds nobody else, and cannot come back before it is up again.
      */
+    private boolean servesOn() {
+        return draining && settings.dispatchers() <= 1;
+    }
+
     @Override
     public boolean closesConnections() {
-        return draining && (settings.dispatchers() > 1 || ended);
+        return draining && (!servesOn() || ended);
     }
 
     /**
@@ -267,7 +271,7 @@
      * there may be a queue, but this one is unlikely to end in time.
      */
     private boolean mustComeBack(ClientMessage message, Settings.Offering offering) {
-        if (!draining || closesConnections()) {
+        if (!servesOn() || ended) {
             return false;
         }
         double stretch = offering.effect() == Effect.IDEMPOTENT ? DRAIN_STRETCH : DRAIN_STRETCH_ONCE;
@@ -277,7 +281,7 @@
 
     /** Guards against retries used up while nobody listens: who is bounced may come back when we are up. */
     private double adviceFor(double retryAfter) {
-        if (!draining || settings.dispatchers() > 1 || !settings.clientsHearRetryAfter()) {
+        if (!servesOn() || !settings.clientsHearRetryAfter()) {
             return retryAfter;
         }
         return Math.min(settings.longestRetryAfter(), drainEnd + RESTART - loop.now());
--- a/src/main/java/wheelroute/net/MessageReader.java
+++ b/src/main/java/wheelroute/net/MessageReader.java
@@ -11,14 +11,11 @@
 public abstract class MessageReader implements HttpParser.HttpHandler {
     /** By their names in small letters; of several of one name the last. */
     protected final Map<String, String> fields = new HashMap<>();
-    /** A name that came more than once; null for none. */
-    protected String repeated;
     private boolean keepsOpen;
     private boolean complete;
 
     protected void begin(HttpVersion version) {
         fields.clear();
-        repeated = null;
         keepsOpen = version == HttpVersion.HTTP_1_1;
     }
 
@@ -41,13 +38,18 @@
     public void parsedHeader(HttpField field) {
         String name = field.getName().toLowerCase(Locale.ROOT);
         if (fields.put(name, field.getValue() == null ? "" : field.getValue()) != null) {
-            repeated = name;
+            comesAgain(name);
         }
         if (name.equals("connection") && field.contains("close")) {
             keepsOpen = false;
         }
     }
 
+    /** A field of this name has come before, in the same message. */
+    protected void comesAgain(String name) {
+        // The last one counts, for who does not mind.
+    }
+
     @Override
     public boolean contentComplete() {
         return false;
--- a/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -138,12 +138,6 @@
             clients.notTaken();
             lastMessage = true;
             answer(ClientAnswer.bounced(0));
-        } else if (!message.method().equals("POST")) {
-            clients.notTaken();
-            answer(ClientAnswer.of(HttpStatus.NOT_FOUND_404, "submissions come by POST"));
-        } else if (message.id() == null || message.id().isEmpty() || !(message.timeout() > 0)) {
-            clients.notTaken();
-            answer(ClientAnswer.of(HttpStatus.BAD_REQUEST_400, "X-Request-ID or X-Timeout is missing"));
         } else {
             submit(message);
         }
@@ -152,6 +146,12 @@
     private void submit(ClientMessage message) {
         unanswered = true;
         try {
+            if (!message.method().equals("POST")) {
+                throw new BadMessage(HttpStatus.NOT_FOUND_404, "submissions come by POST");
+            }
+            if (message.id() == null || message.id().isEmpty() || !(message.timeout() > 0)) {
+                throw new BadMessage(HttpStatus.BAD_REQUEST_400, "X-Request-ID or X-Timeout is missing");
+            }
             Submitters.Taken now = clients.take(message, this);
             hasSubmitted = true;
             if (unanswered) {
--- a/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -8,7 +8,6 @@
 import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
@@ -47,6 +46,8 @@
     private int roomTaken;
     private String method;
     private String target;
+    /** A field that came more than once and may not; null for none. */
+    private String repeated;
     private BadMessage fault;
 
     public ClientDecoder(Room room) {
@@ -138,15 +139,14 @@
     public void startRequest(String newMethod, String newTarget, HttpVersion version) {
         method = newMethod;
         target = newTarget;
+        repeated = null;
         begin(version);
     }
 
+    /** Lists may come in several fields of one name; what we read or pass on may not. */
     @Override
-    public void parsedHeader(HttpField field) {
-        String before = repeated;
-        super.parsedHeader(field);
-        // Lists may come in several fields of one name; what we read or pass on may not.
-        repeated = repeated != null && SINGLE.contains(repeated) ? repeated : before;
+    protected void comesAgain(String name) {
+        repeated = SINGLE.contains(name) ? name : repeated;
     }
 
     @Override
--- a/src/main/java/wheelroute/net/clients/Clients.java
+++ b/src/main/java/wheelroute/net/clients/Clients.java
@@ -66,10 +66,9 @@
         counters.count(Counters.Kind.CLIENTS_OPENED);
         if (open.size() >= most) {
             // Last those who submitted before, and not for a crowd: they keep connections to use them.
-            boolean crowd = open.stream().filter(ClientConnection::isUnknown).count() > CROWD_PART * most;
             first(ClientConnection::isLingering).or(() -> first(ClientConnection::isIdleVisitor))
                     .or(() -> first(ClientConnection::isSilent))
-                    .or(() -> crowd ? Optional.empty() : first(ClientConnection::isIdle))
+                    .or(() -> isCrowded() ? Optional.empty() : first(ClientConnection::isIdle))
                     .ifPresent(ClientConnection::close);
         }
         open.add(connection);
@@ -79,6 +78,10 @@
         return open.size() <= most;
     }
 
+    private boolean isCrowded() {
+        return open.stream().filter(ClientConnection::isUnknown).count() > CROWD_PART * most;
+    }
+
     private Optional<ClientConnection> first(Predicate<ClientConnection> test) {
         return open.stream().filter(test).findFirst();
     }
--- a/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/src/main/java/wheelroute/net/list/ListWatch.java
@@ -85,15 +85,23 @@
     public void stop() {
         stopped = true;
         if (call != null) {
-            Call last = call;
-            call = null;
-            silence.cancel();
-            last.close();
+            drop();
         }
     }
 
+    private void drop() {
+        Call last = call;
+        call = null;
+        silence.cancel();
+        last.close();
+    }
+
+    private boolean isInHurry() {
+        return loop.now() < hurryUntil;
+    }
+
     private double wholeSilence() {
-        return loop.now() < hurryUntil ? HURRIED_SILENCE : WHOLE_SILENCE;
+        return isInHurry() ? HURRIED_SILENCE : WHOLE_SILENCE;
     }
 
     private void waitFor(double limit) {
@@ -110,10 +118,8 @@
         }
         LOG.info("a call for the list failed: {}", why);
         counters.count(Counters.Kind.LIST_FAILURES);
-        silence.cancel();
-        call = null;
-        which.close();
-        if (loop.now() < hurryUntil) {
+        drop();
+        if (isInHurry()) {
             loop.later(HURRIED_PAUSE, this::watch);
         } else {
             hearer.listFailed();
--- a/src/test/java/wheelroute/net/ServiceTest.java
+++ b/src/test/java/wheelroute/net/ServiceTest.java
@@ -40,6 +40,7 @@
     private static final String DONE = HEAD + STARTED + line("done") + "0\r\n\r\n";
     private static final String TURNED_AWAY = "HTTP/1.1 503 X\r\n"
             + "X-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
     private static final String BREAK = "";
     private static final String BREAK_LATE = HEAD + STARTED;
     private static final String TAKEN = HEAD;
@@ -387,7 +388,7 @@
     @DataProvider
     public Object[][] strangers() {
         return new Object[][] {
-            {"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", 200},
+            {HEALTH, 200},
             {"GET / HTTP/1.1\r\nHost: a\r\n\r\n", 404},
             {post(1).replace("/job/", "/other/"), 404},
             {post(1).replace("POST", "PUT"), 404},
@@ -416,7 +417,7 @@
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             clients.add(connect());
-            assertEquals(status(ask(clients.get(i), "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")), 200);
+            assertEquals(status(ask(clients.get(i), HEALTH)), 200);
         }
         assertEquals(clients.get(0).getInputStream().read(), -1);
         for (int i = 11; i < 20; i++) {
@@ -435,7 +436,7 @@
         List<Socket> slow = new ArrayList<>();
         for (int i = 0; i < 9; i++) {
             slow.add(connect());
-            assertEquals(status(ask(slow.get(i), "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\nPOST /jo")), 200);
+            assertEquals(status(ask(slow.get(i), HEALTH + "POST /jo")), 200);
         }
         assertEquals(status(ask(connect(), post(10))), 503);
         assertEquals(status(ask(slow.get(0), post(10).substring(8).replace("X-Timeout", "X-Other"))), 400);
@@ -447,7 +448,7 @@
         workers.answers.add(DONE);
         serve(Effect.IDEMPOTENT, 58, known(workers.listen()));
         for (int i = 0; i < 9; i++) {
-            assertEquals(status(ask(connect(), "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\nPOST /jo")), 200);
+            assertEquals(status(ask(connect(), HEALTH + "POST /jo")), 200);
         }
         int status = 503;
         while (status == 503) {
@@ -463,7 +464,7 @@
     public void silenceAndEndlessMessagesEndInTime() throws Exception {
         serve(Effect.IDEMPOTENT, DONE);
         Socket kept = connect();
-        assertEquals(status(ask(kept, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")), 200);
+        assertEquals(status(ask(kept, HEALTH)), 200);
         long before = System.nanoTime();
         Socket silent = connect();
         Socket endless = connect();
@@ -474,7 +475,7 @@
         assertEquals(silent.getInputStream().read(), -1);
         assertTrue((System.nanoTime() - before) / 1e9 < 3);
         // Later messages have as long, from their first byte on.
-        assertEquals(status(ask(kept, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\nPOST /jo")), 200);
+        assertEquals(status(ask(kept, HEALTH + "POST /jo")), 200);
         assertEquals(status(read(kept.getInputStream())), 408);
     }
 
@@ -486,7 +487,7 @@
         Socket submitter = connect();
         assertEquals(status(ask(submitter, post(10))), 200);
         Socket visitor = connect();
-        assertEquals(status(ask(visitor, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")), 200);
+        assertEquals(status(ask(visitor, HEALTH)), 200);
         List<Socket> fresh = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             fresh.add(connect());
@@ -637,7 +638,7 @@
         });
         String health = "";
         while (!health.startsWith("HTTP/1.1 503")) {
-            health = ask(connect(), "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+            health = ask(connect(), HEALTH);
         }
         return health;
     }
@@ -657,7 +658,7 @@
         boolean listening = true;
         while (listening) {
             try (Socket next = connect()) {
-                ask(next, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+                ask(next, HEALTH);
             } catch (IOException e) {
                 listening = false;
             }
