--- /dev/null
+++ b/daemon/src/test/java/wheelroute/StartScriptTest.java
@@ -0,0 +1,78 @@
+package wheelroute;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * The start script with a stand-in for the runtime that prints its flags, and no other program to be found: where
+ * forks are refused, a heap that was read through a pipeline was never found.
+ */
+public class StartScriptTest {
+    private static final Path ROOT = Path.of("").toAbsolutePath().getParent();
+
+    @DataProvider
+    public Object[][] configurations() {
+        String blanks = "{ \"limits\" :\n\t{ \"cores\": 0.5,\r\n \"memory_mb\" : 100 },\n \"known\": {} }\n";
+        return new Object[][] {
+            {"{\"limits\":{\"cores\":1.0,\"memory_mb\":80,\"sockets\":9}}", "-Xmx35m"},
+            {"{\"known\":{\"servers\":[{\"a\":{}}]},\"limits\":{\"memory_mb\":80}}", "-Xmx35m"},
+            {blanks, "-Xmx55m"},
+            {"{\"limits\":{\"memory_mb\":20}}", "-Xmx16m"},
+            {"{\"limits\":{\"memory_mb\":4000}}", "-Xmx96m"},
+            // What is odd gets the usual size: the program says what is wrong with it.
+            {"{\"limits\":{\"memory_mb\":\"80\"}}", "-Xmx96m"},
+            {"{\"limits\":{\"memory_mb\":12345678901234567890}}", "-Xmx96m"},
+            {"{\"limits\":{\"memory_mb\":080}}", "-Xmx96m"},
+            {"{\"limits\":{\"cores\":1},\"other\":{\"memory_mb\":64}}", "-Xmx96m"},
+            {"* $(echo) `echo` \\", "-Xmx96m"},
+            {"", "-Xmx96m"},
+        };
+    }
+
+    @Test(dataProvider = "configurations")
+    public void findsTheHeapWithoutAnotherProgram(String text, String heap) throws Exception {
+        Path dir = Files.createTempDirectory("start");
+        Path file = Files.writeString(dir.resolve("config.json"), text);
+        Result result = start(dir, Map.of("LB_CONFIG", file.toString()));
+        assertEquals(result.code, 0, result.text);
+        assertTrue(result.text.contains(" " + heap + " "), result.text);
+    }
+
+    @Test
+    public void leavesAFileThatCannotBeReadToTheProgram() throws Exception {
+        Path dir = Files.createTempDirectory("start");
+        for (Path none : new Path[] {dir.resolve("none.json"), dir}) {
+            Result result = start(dir, Map.of("LB_CONFIG", none.toString()));
+            assertEquals(result.code, 0, result.text);
+            assertTrue(result.text.contains(" -Xmx96m "), result.text);
+        }
+    }
+
+    @Test
+    public void namesAMissingVariable() throws Exception {
+        Result result = start(Files.createTempDirectory("start"), Map.of());
+        assertEquals(result.code, 2);
+        assertTrue(result.text.contains("LB_CONFIG: names no configuration file"), result.text);
+    }
+
+    private record Result(int code, String text) {
+    }
+
+    private static Result start(Path dir, Map<String, String> variables) throws Exception {
+        Path runtime = Files.writeString(dir.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertTrue(runtime.toFile().setExecutable(true));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", ROOT.resolve("deploy/run.sh").toString());
+        builder.environment().clear();
+        builder.environment().put("PATH", dir.toString());
+        builder.environment().putAll(variables);
+        Process process = builder.redirectErrorStream(true).start();
+        String text = new String(process.getInputStream().readAllBytes());
+        return new Result(process.waitFor(), text);
+    }
+}
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,12 +1,40 @@
 #!/bin/sh
 # Starts one dispatcher with a heap that follows the memory it may take, as LB_CONFIG tells.
+# Nothing but the shell's own words until the exec: where forks are refused, a pipeline ends the start.
 # The runtime itself, class data, compiled code, stacks and buffers take some 45 MB beside the heap.
-set -eu
+set -euf
 own=45
 usual=192
-memory=$(tr -d ' \t\r\n' < "${LB_CONFIG:?names no configuration file}" \
-    | sed -n 's/.*"limits":{[^}]*"memory_mb":\([0-9]\{1,6\}\)[,.}].*/\1/p')
-heap=$((${memory:-$usual} - own))
+: "${LB_CONFIG:?names no configuration file}"
+text=
+# What cannot be read is the program's to tell, with the file or the key that is at fault.
+if [ -r "$LB_CONFIG" ] && [ ! -d "$LB_CONFIG" ]; then
+    while read -r line || [ -n "$line" ]; do
+        text="$text $line"
+        # As soon as it is there: a shell reads byte by byte, and the list of workers may be long.
+        case $line in *'"memory_mb"'*) break ;; esac
+    done < "$LB_CONFIG"
+fi
+# Without blanks, as JSON may hold them anywhere: split at them, and joined by an empty IFS.
+set -- $text
+IFS=
+text=$*
+# Split at closing braces: cutting a long text at a pattern would compare each of its beginnings.
+IFS='}'
+set -- $text
+memory=$usual
+for part in "$@"; do
+    case $part in
+        *'"limits":{'*'"memory_mb":'[1-9]*)
+            memory=${part##*'"memory_mb":'}
+            memory=${memory%%[!0-9]*}
+            # More digits than these are no size, and the shell might not reckon with them.
+            [ "${#memory}" -le 6 ] || memory=$usual
+            ;;
+    esac
+done
+unset IFS
+heap=$((memory - own))
 # Under the least nothing could be served; past the most a dispatcher has no use for it.
 [ "$heap" -ge 16 ] || heap=16
 [ "$heap" -le 96 ] || heap=96
