Many dispatchers take turns at a cold worker; late progress and new workers are believed

Seen on join+vast and herd+vast, counted over all 14 dispatchers' logs: from the release on 20 to 37 of 60 workers were shut to a choice by the cold budget while a quarter to half of what came was bounced. Policy.mayTakeCold divided the budget by the dispatchers, and a 14th of it is less than a mean job's work, so only the smallest went there. Of those that could, few did: Worker.unseen drew a worker that came up a moment ago to its model's mean wait, while answers showed excess waits of 0.0 s there and 2.6 to 3.6 s at the old ones; and where starts are not told, a launch that shows no progress counted for nothing until its end. Ruled out: list calls (0.03 a second and dispatcher, none failed), refused connections (7 of 2396 submissions), handshakes (no price here), CPU (0.40 of 0.5 in the first second).

Change: where dispatchers outnumber the budget's multiple and each is told its position, the whole budget goes round by turns of a window with a window's rest, reckoned from the start time that all read in the list; a new worker's prior wait grows with its age; a launch without progress tells of a queue once progress is overdue.

--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -72,6 +72,9 @@
     private static final double FULL_PAUSE = 0.3;
     /** Of our share of a cold worker's budget this much is used: hints are rough and its size is a guess. */
     private static final double COLD_USE = 0.65;
+    /** A turn at a cold worker, in windows: one of rest, as launches before it still count, and one of use. */
+    private static final double TURN = 2;
+    private static final double MILLIS = 1000;
     /** Taken off the window in which repeats are known, for the way to the worker. */
     private static final double TRANSIT = 0.5;
     /** Nothing is launched that has less than this left: it could not even reach a worker and return. */
@@ -504,8 +507,13 @@
     }
 
     private double chance() {
+        return draw(settings.seed(), ++draws);
+    }
+
+    /** The same for the same two figures, at every dispatcher. */
+    private double draw(long seed, long counter) {
         crc.reset();
-        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(settings.seed()).putLong(++draws).flip());
+        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(seed).putLong(counter).flip());
         return crc.getValue() / (double) (1L << Integer.SIZE);
     }
 
@@ -619,9 +627,9 @@
         /** Guards against believing only the lucky: what waits past its model's mean has not started yet. */
         void noteWaiting() {
             // A silent worker's launches tell of the worker, not of its model.
-            for (int i = 0; i < out.size() && settings.tellsStart() && !silent; i++) {
+            for (int i = 0; i < out.size() && settings.tellsBegun() && !silent; i++) {
                 model.stillWaiting += out.get(i).hasStarted() ? 0
-                        : Math.max(0, out.get(i).unexplained(now) - model.unseenNow);
+                        : Math.max(0, out.get(i).unexplained(now) - settings.begunAfter() - model.unseenNow);
             }
         }
 
@@ -716,6 +724,12 @@
             return speedNow;
         }
 
+        /** The part of a start's time that has passed: 1 for a worker that is up for long. */
+        private double risen() {
+            double age = now - listing.startedAt();
+            return age < settings.coldFor() ? Math.max(0, age) / settings.coldFor() : 1;
+        }
+
         /** The part of its capacity a worker has at least: it warms up no slower than evenly. */
         double warmth(double time) {
             double age = time - listing.startedAt();
@@ -731,14 +745,32 @@
             if (warm >= 1) {
                 return true;
             }
+            double sharers = Math.max(1, settings.dispatchers());
+            if (settings.position() >= 0 && sharers > settings.tipMultiple()) {
+                // Guards against shares that no job fits into, by which many dispatchers shut a fleet out.
+                if (!hasTurn()) {
+                    return false;
+                }
+                sharers = 1;
+            }
             double sent = work;
             for (double[] entry : sentCold) {
                 sent += entry[0] > now - settings.tipWindow() ? entry[1] : 0;
             }
             double capacity = warm * model.speed * slots();
-            double budget = settings.tipMultiple() * capacity * settings.tipWindow()
-                    / Math.max(1, settings.dispatchers());
-            return sent <= COLD_USE * budget;
+            return sent <= COLD_USE * settings.tipMultiple() * capacity * settings.tipWindow() / sharers;
+        }
+
+        /**
+         * Whether a cold worker's whole budget is ours now: by turns of a window each, and a window's rest after
+         * each, so that no window holds two dispatchers' launches. All read the same start from the list.
+         */
+        private boolean hasTurn() {
+            double turns = (now - listing.startedAt()) / (TURN * settings.tipWindow());
+            long first = (long) (draw(Math.round(listing.startedAt() * MILLIS), listing.cell().value())
+                    * settings.dispatchers());
+            return turns % 1 >= 1 - 1 / TURN
+                    && (first + (long) turns) % settings.dispatchers() == settings.position();
         }
 
         void sentCold(double work) {
@@ -799,7 +831,8 @@
 
         /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
         private double unseen(double memory, double usual) {
-            double sum = WAIT_PRIOR * usual;
+            // A worker that came up a moment ago has no queue yet, however long its model's are.
+            double sum = WAIT_PRIOR * usual * risen();
             double weights = WAIT_PRIOR;
             for (int i = 0; i < waits.size(); i++) {
                 double weight = fade(now - waits.time(i), memory);
@@ -811,9 +844,9 @@
 
         /** Guards against sending into a stopped queue: a launch still waiting tells before a start. */
         private double overdue() {
-            for (int i = 0; i < out.size() && settings.tellsStart(); i++) {
+            for (int i = 0; i < out.size() && settings.tellsBegun(); i++) {
                 if (!out.get(i).hasStarted()) {
-                    return out.get(i).unexplained(now);
+                    return out.get(i).unexplained(now) - settings.begunAfter();
                 }
             }
             return 0;
--- a/daemon/src/main/java/wheelroute/decision/Settings.java
+++ b/daemon/src/main/java/wheelroute/decision/Settings.java
@@ -3,11 +3,16 @@
 import java.util.List;
 import java.util.Map;
 
-/** What an instance is told at its start. Times in seconds; prices in parts of the whole service. */
+/**
+ * What an instance is told at its start. Times in seconds; prices in parts of the whole service.
+ *
+ * @param position this dispatcher's place among all, from 0, or -1 where it is not told
+ */
 public record Settings(
         long seed,
         Ids.Zone zone,
         int dispatchers,
+        int position,
         double round,
         List<Offering> offerings,
         Map<Ids.Tenant, Double> quotas,
@@ -27,10 +32,20 @@
         double tipWindow,
         double crossZonePrice) {
 
+    /** Whether it is told, at once or by the first progress, that a launch has begun. */
+    public boolean tellsBegun() {
+        return tellsStart || progressEvery > 0;
+    }
+
+    /** How long a launch that has begun may go on without a word of it. */
+    public double begunAfter() {
+        return tellsStart ? 0 : progressEvery;
+    }
+
     /** The seed is new with every file, and changes nothing that an operator set. */
     public Settings withSeed(long other) {
-        return new Settings(other, zone, dispatchers, round, offerings, quotas, overShareValue,
-                listMustBeAsked, tellsStart, progressEvery, reportsFreeSlots, mayCancel, mayCopy,
+        return new Settings(other, zone, dispatchers, position, round, offerings, quotas,
+                overShareValue, listMustBeAsked, tellsStart, progressEvery, reportsFreeSlots, mayCancel, mayCopy,
                 clientsHearRetryAfter, longestRetryAfter, mostLaunches, coldShare, coldFor, tipMultiple,
                 tipWindow, crossZonePrice);
     }
--- a/daemon/src/test/java/wheelroute/ChoiceTest.java
+++ b/daemon/src/test/java/wheelroute/ChoiceTest.java
@@ -11,6 +11,7 @@
 import wheelroute.decision.Effect;
 import wheelroute.decision.Group;
 import wheelroute.decision.Listing.Readiness;
+import wheelroute.decision.LoadReport;
 import wheelroute.decision.Outcome;
 import wheelroute.decision.Policy;
 
@@ -104,6 +105,38 @@
         }
     }
 
+    /** Guards against taking a worker that came up a moment ago for as busy as the rest of its model. */
+    @Test
+    public void aNewWorkerHasNoQueueYet() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(1);
+        for (int i = 0; i < 10; i++) {
+            Policy.Handle handle = w.take(0.1);
+            w.pass(0.6);
+            handle.started(0);
+            w.pass(0.1);
+            w.end(handle, 0, Outcome.ANSWERED);
+        }
+        w.change(2, w.now - 5, Readiness.ACTIVE).take(0.1);
+        assertEquals(w.lastWorker(), 2);
+    }
+
+    /** Guards against sending into a stopped queue where only progress tells that a launch has begun. */
+    @Test
+    public void aLaunchWithoutProgressTellsOfAQueue() {
+        World.Given given = new World.Given();
+        given.tellsStart = false;
+        given.progressEvery = 1;
+        World w = new World(given).list(1);
+        Policy.Handle first = w.take(0.1);
+        w.pass(0.1);
+        first.ended(0, Outcome.ANSWERED, true, new LoadReport(3));
+        w.take(0.1);
+        w.watch(15).take(0.1);
+        assertEquals(w.count("bounce"), 0, "it may have run for as long as no progress is told");
+        w.watch(8).take(0.1);
+        assertEquals(w.last().substring(0, 6), "bounce");
+    }
+
     /** Guards against copies that feed a jam: silence everywhere must not copy everything. */
     @Test
     public void copiesForSilenceAreRationed() {
--- a/daemon/src/test/java/wheelroute/RulesTest.java
+++ b/daemon/src/test/java/wheelroute/RulesTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import wheelroute.decision.Effect;
@@ -221,6 +223,37 @@
         assertTrue(most == 0 || sent > 0, "and is not shut out");
     }
 
+    /** Guards against shares of a cold worker's budget that no job fits into, and against their sum. */
+    @Test
+    public void manyDispatchersTakeTurnsAtAColdWorker() {
+        List<World> all = new ArrayList<>();
+        for (int i = 0; i < 14; i++) {
+            World.Given given = new World.Given();
+            given.dispatchers = 14;
+            given.position = i;
+            all.add(new World(given).change(1, World.START - 0.1, Readiness.ACTIVE));
+        }
+        List<double[]> sent = new ArrayList<>();
+        for (double age = 0.1; age < 19; age += 0.1) {
+            for (World w : all) {
+                w.did.clear();
+                Policy.Handle handle = w.take(0.5);
+                if (w.lastWorker() == 1) {
+                    sent.add(new double[] {age, 0.5});
+                    w.end(handle, 0, Outcome.TURNED_AWAY);
+                }
+                w.pass(0.1);
+            }
+        }
+        for (double[] last : sent) {
+            double from = last[0] - 3;
+            double work = sent.stream().filter(s -> s[0] > from && s[0] <= last[0]).mapToDouble(s -> s[1]).sum();
+            double warmth = 0.25 + 0.75 * Math.max(0, from) / 20;
+            assertTrue(work <= 12 * warmth, work + " in the window that ends at " + last[0]);
+        }
+        assertTrue(sent.size() > 10, "and is not shut out: " + sent.size());
+    }
+
     @Test
     public void noSecondCopyWhereForbidden() {
         World.Given given = new World.Given();
--- a/daemon/src/test/java/wheelroute/World.java
+++ b/daemon/src/test/java/wheelroute/World.java
@@ -31,17 +31,20 @@
         public boolean mayCopy = true;
         public boolean mustAsk;
         boolean tellsStart = true;
+        double progressEvery;
         int mostLaunches = 6;
         public int dispatchers = 1;
+        int position = -1;
         double retryAfter = 2;
 
         public Settings settings() {
-            return new Settings(7, new Ids.Zone("here"), dispatchers, 0.005, List.of(new Settings.Offering(
+            return new Settings(7, new Ids.Zone("here"), dispatchers, position, 0.005,
+                    List.of(new Settings.Offering(
                     new Ids.Offering("job"), effect, group, 1, 2, 3, 0.3, window, null),
                     new Settings.Offering(new Ids.Offering("patient"), effect, group, 8, 2, 3, 0.3,
                     window, null)),
                     Map.of(new Ids.Tenant("t"), 10.0, new Ids.Tenant("greedy"), 10.0), 0.1, mustAsk,
-                    tellsStart, 0, true, true, mayCopy, retryAfter > 0,
+                    tellsStart, progressEvery, true, true, mayCopy, retryAfter > 0,
                     retryAfter, mostLaunches, 0.25, 20, 4, 3, 0);
         }
     }
