Cold workers count as empty, and reported queues are read where workers are met seldom

Worker.unseen still drew a cold worker towards its model's mean wait, with which the second choice (0.4 of what is borne) refused the very workers whose turn it was. And the old workers' waits of 3 s were estimated as 0.2 to 0.35 s, since a dispatcher with 7 launches a second meets each of 60 workers once in 8 s; of launches within a second of a report, those to workers that reported two free slots waited 0.08 s in the mean, those to none 0.40 s.

Change: a model's mean wait counts nothing at a cold worker and grows in over as long again; where most workers get no launch of ours within the memory of a wait, the wait that the last report tells of (queued jobs over the worker's slots) takes the place of the model's mean, fading with its age.

--- a/daemon/src/main/java/wheelroute/config/SettingsReader.java
+++ b/daemon/src/main/java/wheelroute/config/SettingsReader.java
@@ -26,9 +26,9 @@
 
     Settings settings(long seed) throws ConfigException {
         return new Settings(seed, new Ids.Zone(text("az", "")), (int) number("balancers", 1),
-                (int) number("position", -1), seconds("round_us", 0), offerings(), quotas(), number("over_share_worth", 1),
-                text("membership_mode", "push").equals("ask"), flag("family_info.tells_start"),
-                seconds("family_info.progress_us", 0),
+                (int) number("position", -1), seconds("round_us", 0), offerings(), quotas(),
+                number("over_share_worth", 1), text("membership_mode", "push").equals("ask"),
+                flag("family_info.tells_start"), seconds("family_info.progress_us", 0),
                 text("family_info.report_x0", "").equals("free_slots"), flag("permissions.cancel"),
                 flag("permissions.may_duplicate"), flag("permissions.retry_after"),
                 seconds("permissions.max_retry_after_us", 0), (int) number("permissions.most_tries", 1),
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -31,6 +31,8 @@
     private static final double MOST_LOAD = 0.95;
     /** Speeds and waits are smoothed over this long: shorter follows single jobs, longer misses a change. */
     private static final double MEMORY = 5;
+    /** Of the job that a busy slot runs, this much is left. */
+    private static final double HALF_RUN = 0.5;
     /** A worker's own record weighs as much as the others' after this many jobs of mean size. */
     private static final double PRIOR_JOBS = 2;
     /** Samples kept of each figure: enough for a mean, few enough to forget. */
@@ -72,8 +74,8 @@
     private static final double FULL_PAUSE = 0.3;
     /** Of our share of a cold worker's budget this much is used: hints are rough and its size is a guess. */
     private static final double COLD_USE = 0.65;
-    /** A turn at a cold worker, in windows: one of rest, as launches before it still count, and one of use. */
-    private static final double TURN = 2;
+    /** So many dispatchers have a turn at a cold worker within one window, wherever it begins. */
+    private static final double TURNS_A_WINDOW = 2;
     private static final double MILLIS = 1000;
     /** Taken off the window in which repeats are known, for the way to the worker. */
     private static final double TRANSIT = 0.5;
@@ -481,6 +483,14 @@
         return least == Double.POSITIVE_INFINITY ? null : drawAmong(least * (1 + TIE_BAND));
     }
 
+    /**
+     * Whether most workers get no launch of ours within the memory of a wait. Only then are queues read
+     * off reports: who meets each worker often knows better, and by reports, which are late, all herd.
+     */
+    private boolean meetsSeldom() {
+        return arrivals.rate(now) * MEMORY < fleet.size();
+    }
+
     private Worker drawAmong(double most) {
         int tied = 0;
         for (Worker w : fleet) {
@@ -563,6 +573,9 @@
         double heardAt = Double.NEGATIVE_INFINITY;
         double fullUntil = Double.NEGATIVE_INFINITY;
         double answeredAt = Double.NEGATIVE_INFINITY;
+        /** The wait that the last report told of. */
+        double reportedWait;
+        double reportedAt = Double.NEGATIVE_INFINITY;
         boolean silent;
         boolean probation;
         int goodTrials;
@@ -594,6 +607,7 @@
                 // Guards against a restarted worker that keeps its old speed and its old faults.
                 runs.clear();
                 waits.clear();
+                reportedAt = Double.NEGATIVE_INFINITY;
                 failures.clear();
                 probation = false;
                 silent = false;
@@ -607,11 +621,16 @@
             silent = false;
         }
 
-        /** Free slots alone: by queues dispatchers herd; running plus free, of two moments, overstates. */
+        /** Free slots tell how many there are: running plus free, of two moments, overstates. */
         void reported(LoadReport report) {
             if (settings.reportsFreeSlots() && !Double.isNaN(report.freeSlots())) {
                 model.slots = Math.max(model.slots, (int) Math.round(report.freeSlots()));
             }
+            if (report.queued() >= 0) {
+                reportedAt = now;
+                double ahead = report.queued() + (Double.isNaN(report.freeSlots()) ? 0 : HALF_RUN);
+                reportedWait = Math.rint(report.freeSlots()) > 0 ? 0 : ahead * meanWork / (speed() * slots());
+            }
         }
 
         /** Guards against a start that overtakes the end before it: counted at once, slots only ever grow. */
@@ -724,10 +743,10 @@
             return speedNow;
         }
 
-        /** The part of a start's time that has passed: 1 for a worker that is up for long. */
-        private double risen() {
-            double age = now - listing.startedAt();
-            return age < settings.coldFor() ? Math.max(0, age) / settings.coldFor() : 1;
+        /** A cold worker is spared, so it has no queue, however long its model's are; then one can form. */
+        private double usualPart() {
+            double past = now - listing.startedAt() - settings.coldFor();
+            return past < settings.coldFor() ? Math.max(0, past) / settings.coldFor() : 1;
         }
 
         /** The part of its capacity a worker has at least: it warms up no slower than evenly. */
@@ -751,7 +770,7 @@
                 if (!hasTurn()) {
                     return false;
                 }
-                sharers = 1;
+                sharers = TURNS_A_WINDOW;
             }
             double sent = work;
             for (double[] entry : sentCold) {
@@ -761,16 +780,12 @@
             return sent <= COLD_USE * settings.tipMultiple() * capacity * settings.tipWindow() / sharers;
         }
 
-        /**
-         * Whether a cold worker's whole budget is ours now: by turns of a window each, and a window's rest after
-         * each, so that no window holds two dispatchers' launches. All read the same start from the list.
-         */
+        /** Dispatchers go by turns of a window each, reckoned from the start that all read in the list. */
         private boolean hasTurn() {
-            double turns = (now - listing.startedAt()) / (TURN * settings.tipWindow());
+            long turn = (long) (Math.max(0, now - listing.startedAt()) / settings.tipWindow());
             long first = (long) (draw(Math.round(listing.startedAt() * MILLIS), listing.cell().value())
                     * settings.dispatchers());
-            return turns % 1 >= 1 - 1 / TURN
-                    && (first + (long) turns) % settings.dispatchers() == settings.position();
+            return (first + turn) % settings.dispatchers() == settings.position();
         }
 
         void sentCold(double work) {
@@ -831,8 +846,8 @@
 
         /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
         private double unseen(double memory, double usual) {
-            // A worker that came up a moment ago has no queue yet, however long its model's are.
-            double sum = WAIT_PRIOR * usual * risen();
+            double told = now - reportedAt < memory && meetsSeldom() ? fade(now - reportedAt, memory) : 0;
+            double sum = WAIT_PRIOR * (told * reportedWait + (1 - told) * usual * usualPart());
             double weights = WAIT_PRIOR;
             for (int i = 0; i < waits.size(); i++) {
                 double weight = fade(now - waits.time(i), memory);
--- a/daemon/src/main/java/wheelroute/decision/Settings.java
+++ b/daemon/src/main/java/wheelroute/decision/Settings.java
@@ -45,9 +45,9 @@
     /** The seed is new with every file, and changes nothing that an operator set. */
     public Settings withSeed(long other) {
         return new Settings(other, zone, dispatchers, position, round, offerings, quotas,
-                overShareValue, listMustBeAsked, tellsStart, progressEvery, reportsFreeSlots, mayCancel, mayCopy,
-                clientsHearRetryAfter, longestRetryAfter, mostLaunches, coldShare, coldFor, tipMultiple,
-                tipWindow, crossZonePrice);
+                overShareValue, listMustBeAsked, tellsStart, progressEvery, reportsFreeSlots, mayCancel,
+                mayCopy, clientsHearRetryAfter, longestRetryAfter, mostLaunches, coldShare, coldFor,
+                tipMultiple, tipWindow, crossZonePrice);
     }
 
     /**
--- a/daemon/src/main/java/wheelroute/net/workers/Flight.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Flight.java
@@ -1,5 +1,6 @@
 package wheelroute.net.workers;
 
+import wheelroute.decision.LoadReport;
 import wheelroute.net.End;
 
 /** One launch on its way: connecting, written, ended. */
@@ -46,15 +47,15 @@
         }
     }
 
-    void end(End end, byte[] result, double freeSlots) {
+    void end(End end, byte[] result, LoadReport report) {
         if (!ended) {
             ended = true;
-            launches.ended(end, result, freeSlots);
+            launches.ended(end, result, report);
         }
     }
 
     void end(End end) {
-        end(end, Launches.NO_RESULT, Double.NaN);
+        end(end, Launches.NO_RESULT, LoadReport.NOTHING);
     }
 
     /** Gives it up: its connection is closed before the end is told, so that no copy can overlap it. */
@@ -65,7 +66,7 @@
             if (on != null) {
                 on.close();
             }
-            launches.ended(written ? end : End.ENDED_UNSENT, Launches.NO_RESULT, Double.NaN);
+            launches.ended(written ? end : End.ENDED_UNSENT, Launches.NO_RESULT, LoadReport.NOTHING);
         }
     }
 }
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
+import wheelroute.decision.LoadReport;
 import wheelroute.net.End;
 import wheelroute.net.Link;
 import wheelroute.net.Loop;
@@ -92,9 +93,9 @@
     }
 
     @Override
-    public void ended(End end, byte[] result, double freeSlots) {
+    public void ended(End end, byte[] result, LoadReport report) {
         tail = loop.later(TAIL, this::close);
-        flight.end(end, result, freeSlots);
+        flight.end(end, result, report);
     }
 
     @Override
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerNote.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerNote.java
@@ -7,28 +7,32 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import wheelroute.decision.LoadReport;
 
 /**
  * One line of a worker's answer, decoded.
  *
  * @param share the part that is done; 0 when not told
  * @param result what goes to the client; null when not told
- * @param freeSlots from a load report; NaN when not told
+ * @param report what it tells of the load
  */
-record WorkerNote(String id, State state, double share, byte[] result, double freeSlots) {
+record WorkerNote(String id, State state, double share, byte[] result, LoadReport report) {
     enum State {
         STARTED, RUNNING, DONE, FAILED, RETURNED, LOST, UNKNOWN
     }
 
     private static final JsonFactory JSON = new JsonFactory();
     private static final String FREE_SLOTS = "x0";
+    /** The protocol page has the second, the settings name the first. */
+    private static final Set<String> QUEUED = Set.of("pending", "queue");
 
     static WorkerNote decode(byte[] line) throws IOException {
         String id = null;
         State state = State.UNKNOWN;
         double share = 0;
         byte[] result = null;
-        double freeSlots = Double.NaN;
+        LoadReport report = LoadReport.NOTHING;
         try (JsonParser parser = JSON.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("a line is not an object");
@@ -41,7 +45,7 @@
                     case "state" -> state = state(parser.getText());
                     case "share" -> share = parser.getDoubleValue();
                     case "result" -> result = result(parser, value);
-                    case "load" -> freeSlots = freeSlots(parser, value);
+                    case "load" -> report = report(parser, value);
                     default -> parser.skipChildren();
                 }
             }
@@ -52,7 +56,7 @@
         if (id == null) {
             throw new IOException("a line has no id");
         }
-        return new WorkerNote(id, state, share, result, freeSlots);
+        return new WorkerNote(id, state, share, result, report);
     }
 
     private static State state(String word) {
@@ -79,35 +83,47 @@
         return out.toByteArray();
     }
 
-    private static double freeSlots(JsonParser parser, JsonToken value) throws IOException {
-        double freeSlots = Double.NaN;
+    private static LoadReport report(JsonParser parser, JsonToken value) throws IOException {
         if (value != JsonToken.START_OBJECT) {
             parser.skipChildren();
-            return freeSlots;
+            return LoadReport.NOTHING;
         }
+        double freeSlots = Double.NaN;
+        double queued = Double.NaN;
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
-            if (parser.nextToken().isNumeric() && name.equals(FREE_SLOTS)) {
-                freeSlots = parser.getDoubleValue();
-            } else {
+            if (!parser.nextToken().isNumeric()) {
                 parser.skipChildren();
+            } else if (name.equals(FREE_SLOTS)) {
+                freeSlots = parser.getDoubleValue();
+            } else if (QUEUED.contains(name)) {
+                queued = parser.getDoubleValue();
             }
         }
-        return freeSlots;
+        return new LoadReport(freeSlots, queued);
     }
 
     /** The same from an answer's header; what is not name=number is no report. */
-    static double freeSlots(String header) {
+    static LoadReport report(String header) {
+        double freeSlots = Double.NaN;
+        double queued = Double.NaN;
         for (String pair : header == null ? new String[0] : header.split(",")) {
             int eq = pair.indexOf('=');
-            if (eq > 0 && pair.substring(0, eq).trim().equals(FREE_SLOTS)) {
-                try {
-                    return Double.parseDouble(pair.substring(eq + 1).trim());
-                } catch (NumberFormatException e) {
-                    return Double.NaN;
-                }
+            String name = eq > 0 ? pair.substring(0, eq).trim() : "";
+            if (name.equals(FREE_SLOTS)) {
+                freeSlots = number(pair.substring(eq + 1).trim());
+            } else if (QUEUED.contains(name)) {
+                queued = number(pair.substring(eq + 1).trim());
             }
         }
-        return Double.NaN;
+        return new LoadReport(freeSlots, queued);
+    }
+
+    private static double number(String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
     }
 }
--- a/daemon/src/test/java/wheelroute/RulesTest.java
+++ b/daemon/src/test/java/wheelroute/RulesTest.java
@@ -247,7 +247,8 @@
         }
         for (double[] last : sent) {
             double from = last[0] - 3;
-            double work = sent.stream().filter(s -> s[0] > from && s[0] <= last[0]).mapToDouble(s -> s[1]).sum();
+            double work = sent.stream().filter(s -> s[0] > from && s[0] <= last[0])
+                    .mapToDouble(s -> s[1]).sum();
             double warmth = 0.25 + 0.75 * Math.max(0, from) / 20;
             assertTrue(work <= 12 * warmth, work + " in the window that ends at " + last[0]);
         }
--- a/daemon/src/test/java/wheelroute/StartScriptTest.java
+++ b/daemon/src/test/java/wheelroute/StartScriptTest.java
@@ -10,8 +10,8 @@
 import org.testng.annotations.Test;
 
 /**
- * The start script with a stand-in for the runtime that prints its flags, and no other program to be found: where
- * forks are refused, a heap that was read through a pipeline was never found.
+ * The start script with a stand-in for the runtime that prints its flags, and no other program to be found:
+ * where forks are refused, a heap that was read through a pipeline was never found.
  */
 public class StartScriptTest {
     private static final Path ROOT = Path.of("").toAbsolutePath().getParent();
