--- a/daemon/src/main/java/wheelroute/adapter/Adapter.java
+++ b/daemon/src/main/java/wheelroute/adapter/Adapter.java
@@ -26,7 +26,6 @@
     private static final int NOTE_PROGRESS = 2;
     private static final int OK = 200;
     private static final String FREE_SLOTS = "x0";
-    private static final String QUEUED = "pending";
 
     /** One instance: its policy, the handles of what it holds, and its names for what the wire repeats. */
     private static final class Instance {
@@ -257,7 +256,6 @@
             return LoadReport.NOTHING;
         }
         double free = Double.NaN;
-        double queued = Double.NaN;
         for (int from = 0; from < pairs.length();) {
             int comma = pairs.indexOf(',', from);
             int end = comma < 0 ? pairs.length() : comma;
@@ -267,10 +265,9 @@
             }
             double value = number(pairs.substring(colon + 1, end));
             free = colon - from == FREE_SLOTS.length() && pairs.startsWith(FREE_SLOTS, from) ? value : free;
-            queued = colon - from == QUEUED.length() && pairs.startsWith(QUEUED, from) ? value : queued;
             from = end + 1;
         }
-        return new LoadReport(free, queued);
+        return new LoadReport(free);
     }
 
     private double number(String s) throws WireException {
--- a/daemon/src/main/java/wheelroute/config/SettingsReader.java
+++ b/daemon/src/main/java/wheelroute/config/SettingsReader.java
@@ -25,6 +25,10 @@
     }
 
     Settings settings(long seed) throws ConfigException {
+        if (!(number("position", -1) < number("balancers", 1))) {
+            // It would never have its turn at a cold worker.
+            throw new ConfigException("position", "is not under the number of dispatchers");
+        }
         return new Settings(seed, new Ids.Zone(text("az", "")), (int) number("balancers", 1),
                 (int) number("position", -1), seconds("round_us", 0), offerings(), quotas(),
                 number("over_share_worth", 1), text("membership_mode", "push").equals("ask"),
--- a/daemon/src/main/java/wheelroute/config/TomlFile.java
+++ b/daemon/src/main/java/wheelroute/config/TomlFile.java
@@ -61,7 +61,8 @@
         put("limits.sockets", limits.number("sockets", 1024, 64, 1 << 20));
         limits.done();
         SettingsPairs settings = new SettingsPairs().text("az", root.text("zone", ""))
-                .number("balancers", root.whole("dispatchers", 1, 1, 1_000_000));
+                .number("balancers", root.whole("dispatchers", 1, 1, 1_000_000))
+                .number("position", root.whole("position", -1, -1, 1_000_000));
         terms(root.table("terms"), settings);
         cold(root.table("cold"), settings);
         for (TomlFields f : root.tables("offerings")) {
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -31,8 +31,6 @@
     private static final double MOST_LOAD = 0.95;
     /** Speeds and waits are smoothed over this long: shorter follows single jobs, longer misses a change. */
     private static final double MEMORY = 5;
-    /** Of the job that a busy slot runs, this much is left. */
-    private static final double HALF_RUN = 0.5;
     /** A worker's own record weighs as much as the others' after this many jobs of mean size. */
     private static final double PRIOR_JOBS = 2;
     /** Samples kept of each figure: enough for a mean, few enough to forget. */
@@ -483,14 +481,6 @@
         return least == Double.POSITIVE_INFINITY ? null : drawAmong(least * (1 + TIE_BAND));
     }
 
-    /**
-     * Whether most workers get no launch of ours within the memory of a wait. Only then are queues read
-     * off reports: who meets each worker often knows better, and by reports, which are late, all herd.
-     */
-    private boolean meetsSeldom() {
-        return arrivals.rate(now) * MEMORY < fleet.size();
-    }
-
     private Worker drawAmong(double most) {
         int tied = 0;
         for (Worker w : fleet) {
@@ -573,9 +563,6 @@
         double heardAt = Double.NEGATIVE_INFINITY;
         double fullUntil = Double.NEGATIVE_INFINITY;
         double answeredAt = Double.NEGATIVE_INFINITY;
-        /** The wait that the last report told of. */
-        double reportedWait;
-        double reportedAt = Double.NEGATIVE_INFINITY;
         boolean silent;
         boolean probation;
         int goodTrials;
@@ -607,7 +594,6 @@
                 // Guards against a restarted worker that keeps its old speed and its old faults.
                 runs.clear();
                 waits.clear();
-                reportedAt = Double.NEGATIVE_INFINITY;
                 failures.clear();
                 probation = false;
                 silent = false;
@@ -621,16 +607,11 @@
             silent = false;
         }
 
-        /** Free slots tell how many there are: running plus free, of two moments, overstates. */
+        /** Free slots alone: by queues dispatchers herd; running plus free, of two moments, overstates. */
         void reported(LoadReport report) {
             if (settings.reportsFreeSlots() && !Double.isNaN(report.freeSlots())) {
                 model.slots = Math.max(model.slots, (int) Math.round(report.freeSlots()));
             }
-            if (report.queued() >= 0) {
-                reportedAt = now;
-                double ahead = report.queued() + (Double.isNaN(report.freeSlots()) ? 0 : HALF_RUN);
-                reportedWait = Math.rint(report.freeSlots()) > 0 ? 0 : ahead * meanWork / (speed() * slots());
-            }
         }
 
         /** Guards against a start that overtakes the end before it: counted at once, slots only ever grow. */
@@ -746,7 +727,7 @@
         /** A cold worker is spared, so it has no queue, however long its model's are; then one can form. */
         private double usualPart() {
             double past = now - listing.startedAt() - settings.coldFor();
-            return past < settings.coldFor() ? Math.max(0, past) / settings.coldFor() : 1;
+            return past < 0 ? 0 : past < settings.coldFor() ? past / settings.coldFor() : 1;
         }
 
         /** The part of its capacity a worker has at least: it warms up no slower than evenly. */
@@ -846,8 +827,7 @@
 
         /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
         private double unseen(double memory, double usual) {
-            double told = now - reportedAt < memory && meetsSeldom() ? fade(now - reportedAt, memory) : 0;
-            double sum = WAIT_PRIOR * (told * reportedWait + (1 - told) * usual * usualPart());
+            double sum = WAIT_PRIOR * usual * usualPart();
             double weights = WAIT_PRIOR;
             for (int i = 0; i < waits.size(); i++) {
                 double weight = fade(now - waits.time(i), memory);
--- a/daemon/src/main/java/wheelroute/net/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/Exchange.java
@@ -70,13 +70,13 @@
         }
 
         @Override
-        public void ended(End end, byte[] result, LoadReport report) {
+        public void ended(End end, byte[] result, double freeSlots) {
             exchanges.counters().count(end);
             exchanges.turn(() -> {
                 if (end == End.DONE && !answered) {
                     answer(Counters.Kind.FULFILLED, ClientAnswer.fulfilled(result));
                 }
-                handle.ended(number, end.outcome(), answered, report);
+                handle.ended(number, end.outcome(), answered, new LoadReport(freeSlots));
                 closeIfOver();
             });
         }
@@ -86,7 +86,7 @@
         Launch launch = new Launch(launches.size());
         launches.add(launch);
         if (exchanges.hasEnded()) {
-            launch.ended(End.ENDED_UNSENT, Launches.NO_RESULT, LoadReport.NOTHING);
+            launch.ended(End.ENDED_UNSENT, Launches.NO_RESULT, Double.NaN);
         } else {
             exchanges.counters().count(Counters.Kind.LAUNCHED);
             launch.flight = exchanges.workers().send(worker, message, submission.outerLimit(), launch);
--- a/daemon/src/main/java/wheelroute/net/workers/Flight.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Flight.java
@@ -1,6 +1,5 @@
 package wheelroute.net.workers;
 
-import wheelroute.decision.LoadReport;
 import wheelroute.net.End;
 
 /** One launch on its way: connecting, written, ended. */
@@ -47,15 +46,15 @@
         }
     }
 
-    void end(End end, byte[] result, LoadReport report) {
+    void end(End end, byte[] result, double freeSlots) {
         if (!ended) {
             ended = true;
-            launches.ended(end, result, report);
+            launches.ended(end, result, freeSlots);
         }
     }
 
     void end(End end) {
-        end(end, Launches.NO_RESULT, LoadReport.NOTHING);
+        end(end, Launches.NO_RESULT, Double.NaN);
     }
 
     /** Gives it up: its connection is closed before the end is told, so that no copy can overlap it. */
@@ -66,7 +65,7 @@
             if (on != null) {
                 on.close();
             }
-            launches.ended(written ? end : End.ENDED_UNSENT, Launches.NO_RESULT, LoadReport.NOTHING);
+            launches.ended(written ? end : End.ENDED_UNSENT, Launches.NO_RESULT, Double.NaN);
         }
     }
 }
--- a/daemon/src/main/java/wheelroute/net/workers/LaunchDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/workers/LaunchDecoder.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpStatus;
-import wheelroute.decision.LoadReport;
 import wheelroute.net.AnswerParser;
 import wheelroute.net.End;
 
@@ -18,7 +17,7 @@
 
         void progressed(double share);
 
-        void ended(End end, byte[] result, LoadReport report);
+        void ended(End end, byte[] result, double freeSlots);
 
         /** The last byte of the answer has come. */
         void complete(boolean keepsOpen);
@@ -66,7 +65,7 @@
             End end = notBegun ? End.TURNED_AWAY
                     : status == HttpStatus.INTERNAL_SERVER_ERROR_500 ? End.FAILED
                     : blamesTheMessage(status) ? End.UNUSABLE : End.ODD_STATUS;
-            finish(end, Launches.NO_RESULT, WorkerNote.report(fields.get("x-server-load")));
+            finish(end, Launches.NO_RESULT, WorkerNote.freeSlots(fields.get("x-server-load")));
         }
     }
 
@@ -110,20 +109,20 @@
                 if (note.result() == null) {
                     throw new IOException("done without a result");
                 }
-                finish(End.DONE, note.result(), note.report());
+                finish(End.DONE, note.result(), note.freeSlots());
             }
-            case FAILED -> finish(End.FAILED, Launches.NO_RESULT, note.report());
-            case RETURNED -> finish(End.RETURNED, Launches.NO_RESULT, note.report());
-            case LOST -> finish(End.LOST, Launches.NO_RESULT, note.report());
+            case FAILED -> finish(End.FAILED, Launches.NO_RESULT, note.freeSlots());
+            case RETURNED -> finish(End.RETURNED, Launches.NO_RESULT, note.freeSlots());
+            case LOST -> finish(End.LOST, Launches.NO_RESULT, note.freeSlots());
             case UNKNOWN -> {
                 // A state that came after this version: the launch still has its last line to come.
             }
         }
     }
 
-    private void finish(End end, byte[] result, LoadReport report) {
+    private void finish(End end, byte[] result, double freeSlots) {
         over = true;
-        hearer.ended(end, result, report);
+        hearer.ended(end, result, freeSlots);
     }
 
     @Override
--- a/daemon/src/main/java/wheelroute/net/workers/Launches.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Launches.java
@@ -1,6 +1,5 @@
 package wheelroute.net.workers;
 
-import wheelroute.decision.LoadReport;
 import wheelroute.net.End;
 
 /** What one launch tells whoever made it; exactly one end. */
@@ -11,6 +10,6 @@
 
     void progressed(double share);
 
-    /** The result is empty but for a DONE; NOTHING for no report. */
-    void ended(End end, byte[] result, LoadReport report);
+    /** The result is empty but for a DONE; NaN for no report of free slots. */
+    void ended(End end, byte[] result, double freeSlots);
 }
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
-import wheelroute.decision.LoadReport;
 import wheelroute.net.End;
 import wheelroute.net.Link;
 import wheelroute.net.Loop;
@@ -93,9 +92,9 @@
     }
 
     @Override
-    public void ended(End end, byte[] result, LoadReport report) {
+    public void ended(End end, byte[] result, double freeSlots) {
         tail = loop.later(TAIL, this::close);
-        flight.end(end, result, report);
+        flight.end(end, result, freeSlots);
     }
 
     @Override
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerNote.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerNote.java
@@ -7,32 +7,28 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.Set;
-import wheelroute.decision.LoadReport;
 
 /**
  * One line of a worker's answer, decoded.
  *
  * @param share the part that is done; 0 when not told
  * @param result what goes to the client; null when not told
- * @param report what it tells of the load
+ * @param freeSlots from a load report; NaN when not told
  */
-record WorkerNote(String id, State state, double share, byte[] result, LoadReport report) {
+record WorkerNote(String id, State state, double share, byte[] result, double freeSlots) {
     enum State {
         STARTED, RUNNING, DONE, FAILED, RETURNED, LOST, UNKNOWN
     }
 
     private static final JsonFactory JSON = new JsonFactory();
     private static final String FREE_SLOTS = "x0";
-    /** The protocol page has the second, the settings name the first. */
-    private static final Set<String> QUEUED = Set.of("pending", "queue");
 
     static WorkerNote decode(byte[] line) throws IOException {
         String id = null;
         State state = State.UNKNOWN;
         double share = 0;
         byte[] result = null;
-        LoadReport report = LoadReport.NOTHING;
+        double freeSlots = Double.NaN;
         try (JsonParser parser = JSON.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("a line is not an object");
@@ -45,7 +41,7 @@
                     case "state" -> state = state(parser.getText());
                     case "share" -> share = parser.getDoubleValue();
                     case "result" -> result = result(parser, value);
-                    case "load" -> report = report(parser, value);
+                    case "load" -> freeSlots = freeSlots(parser, value);
                     default -> parser.skipChildren();
                 }
             }
@@ -56,7 +52,7 @@
         if (id == null) {
             throw new IOException("a line has no id");
         }
-        return new WorkerNote(id, state, share, result, report);
+        return new WorkerNote(id, state, share, result, freeSlots);
     }
 
     private static State state(String word) {
@@ -83,47 +79,35 @@
         return out.toByteArray();
     }
 
-    private static LoadReport report(JsonParser parser, JsonToken value) throws IOException {
+    private static double freeSlots(JsonParser parser, JsonToken value) throws IOException {
+        double freeSlots = Double.NaN;
         if (value != JsonToken.START_OBJECT) {
             parser.skipChildren();
-            return LoadReport.NOTHING;
+            return freeSlots;
         }
-        double freeSlots = Double.NaN;
-        double queued = Double.NaN;
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
-            if (!parser.nextToken().isNumeric()) {
-                parser.skipChildren();
-            } else if (name.equals(FREE_SLOTS)) {
+            if (parser.nextToken().isNumeric() && name.equals(FREE_SLOTS)) {
                 freeSlots = parser.getDoubleValue();
-            } else if (QUEUED.contains(name)) {
-                queued = parser.getDoubleValue();
+            } else {
+                parser.skipChildren();
             }
         }
-        return new LoadReport(freeSlots, queued);
+        return freeSlots;
     }
 
     /** The same from an answer's header; what is not name=number is no report. */
-    static LoadReport report(String header) {
-        double freeSlots = Double.NaN;
-        double queued = Double.NaN;
+    static double freeSlots(String header) {
         for (String pair : header == null ? new String[0] : header.split(",")) {
             int eq = pair.indexOf('=');
-            String name = eq > 0 ? pair.substring(0, eq).trim() : "";
-            if (name.equals(FREE_SLOTS)) {
-                freeSlots = number(pair.substring(eq + 1).trim());
-            } else if (QUEUED.contains(name)) {
-                queued = number(pair.substring(eq + 1).trim());
+            if (eq > 0 && pair.substring(0, eq).trim().equals(FREE_SLOTS)) {
+                try {
+                    return Double.parseDouble(pair.substring(eq + 1).trim());
+                } catch (NumberFormatException e) {
+                    return Double.NaN;
+                }
             }
         }
-        return new LoadReport(freeSlots, queued);
-    }
-
-    private static double number(String text) {
-        try {
-            return Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
+        return Double.NaN;
     }
 }
--- a/kit/src/main/java/wheelroute/kit/real/RealRun.java
+++ b/kit/src/main/java/wheelroute/kit/real/RealRun.java
@@ -144,8 +144,7 @@
         for (int i = 0; i < scenario.dispatchers(); i++) {
             Path config = folder.resolve("n" + i + ".json");
             Files.writeString(config, DaemonSettings.file("n" + i, chance.key(Chance.Of.BRAIN, i, 0),
-                    MEMORY_MB,
-                    SOCKETS, pairs));
+                    MEMORY_MB, SOCKETS, DaemonSettings.pairsOf(i, pairs)));
             daemons.add(new DaemonProcess("n" + i, config, lists.get(i).address(), jar, HEAP_MB));
             pools.add(null);
             CompletableFuture<Void> up = new CompletableFuture<>();
--- a/kit/src/main/java/wheelroute/kit/scenario/DaemonSettings.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/DaemonSettings.java
@@ -53,6 +53,13 @@
     }
 
     /** For the decisions alone, read by the daemon's own reader. */
+    /** What one of the dispatchers is told: the same, and its place among them. */
+    public static Map<String, String> pairsOf(int dispatcher, Map<String, String> pairs) {
+        Map<String, String> own = new LinkedHashMap<>(pairs);
+        own.putIfAbsent("position", Integer.toString(dispatcher));
+        return own;
+    }
+
     public static Settings settings(long seed, Map<String, String> pairs) throws ConfigException {
         Map<String, String> all = new LinkedHashMap<>(pairs);
         // As the daemon does on sockets.
--- a/kit/src/main/java/wheelroute/kit/virtual/VirtualDispatcher.java
+++ b/kit/src/main/java/wheelroute/kit/virtual/VirtualDispatcher.java
@@ -292,7 +292,7 @@
                 if (outcome == Outcome.ANSWERED) {
                     exchange.answer(Answer.FULFILLED, 0);
                 }
-                exchange.held.ended(number, outcome, exchange.answered, new LoadReport(freeSlots, Double.NaN));
+                exchange.held.ended(number, outcome, exchange.answered, new LoadReport(freeSlots));
                 exchange.closeIfOver();
             });
         }
