Only a cold worker counts as empty: newly warm ones drew all dispatchers at once

The fault was Worker.usualPart in Policy, which let a model's mean wait grow in over as long again as a worker was cold: in that time nothing spares the worker any more, and every dispatcher took it for the emptiest.

Change: the mean counts nothing while settings call a worker cold, and in full after. The test has a worker at both sides of that moment; it fails with the ramp and without any of it.

--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -724,12 +724,6 @@
             return speedNow;
         }
 
-        /** A cold worker is spared, so it has no queue, however long its model's are; then one can form. */
-        private double usualPart() {
-            double past = now - listing.startedAt() - settings.coldFor();
-            return past < 0 ? 0 : past < settings.coldFor() ? past / settings.coldFor() : 1;
-        }
-
         /** The part of its capacity a worker has at least: it warms up no slower than evenly. */
         double warmth(double time) {
             double age = time - listing.startedAt();
@@ -827,7 +821,9 @@
 
         /** Waiting that our own launches do not explain: others' work, seen in how late ours start. */
         private double unseen(double memory, double usual) {
-            double sum = WAIT_PRIOR * usual * usualPart();
+            // A cold worker is spared, so it has no queue, however long its model's are. A warm one has, or
+            // all would take to those that have just become so.
+            double sum = warmth(now) < 1 ? 0 : WAIT_PRIOR * usual;
             double weights = WAIT_PRIOR;
             for (int i = 0; i < waits.size(); i++) {
                 double weight = fade(now - waits.time(i), memory);
--- a/daemon/src/test/java/wheelroute/ChoiceTest.java
+++ b/daemon/src/test/java/wheelroute/ChoiceTest.java
@@ -105,19 +105,30 @@
         }
     }
 
-    /** Guards against taking a worker that came up a moment ago for as busy as the rest of its model. */
-    @Test
-    public void aNewWorkerHasNoQueueYet() {
-        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(1);
-        for (int i = 0; i < 10; i++) {
-            Policy.Handle handle = w.take(0.1);
-            w.pass(0.6);
-            handle.started(0);
-            w.pass(0.1);
-            w.end(handle, 0, Outcome.ANSWERED);
+    @DataProvider
+    public Object[][] ages() {
+        // Seconds since a worker's start, and whether it is always chosen beside one that has waits.
+        return new Object[][] {{5.0, true}, {19.0, true}, {21.0, false}, {25.0, false}};
+    }
+
+    /** Guards against taking a cold worker for as busy as its model, and against all taking to a warm one. */
+    @Test(dataProvider = "ages")
+    public void onlyAColdWorkerHasNoQueueYet(double age, boolean always) {
+        int chosen = 0;
+        for (int learned = 10; learned < 30; learned++) {
+            World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(1);
+            for (int i = 0; i < learned; i++) {
+                Policy.Handle handle = w.take(0.1);
+                // It waited less lately than is usual: a warm one beside it must not look better still.
+                w.pass(i < learned - 8 ? 0.8 : 0.3);
+                handle.started(0);
+                w.pass(0.1);
+                w.end(handle, 0, Outcome.ANSWERED);
+            }
+            w.change(2, w.now - age, Readiness.ACTIVE).take(0.1);
+            chosen += w.lastWorker() == 2 ? 1 : 0;
         }
-        w.change(2, w.now - 5, Readiness.ACTIVE).take(0.1);
-        assertEquals(w.lastWorker(), 2);
+        assertTrue(always ? chosen == 20 : chosen < 20, "chosen " + chosen + " times of 20");
     }
 
     /** Guards against sending into a stopped queue where only progress tells that a launch has begun. */
