Whose turn is first is worked out at the listing, not at every choice; one piece for overdue

Worker.hasTurn drew the same checksum, over a fresh buffer, for every cold worker at every choice and resort, though it follows from the list's entry alone; the reckoning of an overdue launch stood twice, with two settings that had to be kept in step; two settings were parsed twice; a comment in the kit had lost its method.

Change: Worker.take draws whose turn is first; Worker.overdue(Launch) serves both readers, and Settings.begunAfter alone says when a word is due, for ever where none is told.

--- a/daemon/src/main/java/wheelroute/config/SettingsReader.java
+++ b/daemon/src/main/java/wheelroute/config/SettingsReader.java
@@ -25,13 +25,15 @@
     }
 
     Settings settings(long seed) throws ConfigException {
-        if (!(number("position", -1) < number("balancers", 1))) {
+        double dispatchers = number("balancers", 1);
+        double position = number("position", -1);
+        if (!(position < dispatchers)) {
             // It would never have its turn at a cold worker.
             throw new ConfigException("position", "is not under the number of dispatchers");
         }
-        return new Settings(seed, new Ids.Zone(text("az", "")), (int) number("balancers", 1),
-                (int) number("position", -1), seconds("round_us", 0), offerings(), quotas(),
-                number("over_share_worth", 1), text("membership_mode", "push").equals("ask"),
+        return new Settings(seed, new Ids.Zone(text("az", "")), (int) dispatchers, (int) position,
+                seconds("round_us", 0), offerings(), quotas(), number("over_share_worth", 1),
+                text("membership_mode", "push").equals("ask"),
                 flag("family_info.tells_start"), seconds("family_info.progress_us", 0),
                 text("family_info.report_x0", "").equals("free_slots"), flag("permissions.cancel"),
                 flag("permissions.may_duplicate"), flag("permissions.retry_after"),
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -563,6 +563,8 @@
         double heardAt = Double.NEGATIVE_INFINITY;
         double fullUntil = Double.NEGATIVE_INFINITY;
         double answeredAt = Double.NEGATIVE_INFINITY;
+        /** The dispatcher whose turn is first: not the same one at all that start in one moment. */
+        long firstTurn;
         boolean silent;
         boolean probation;
         int goodTrials;
@@ -588,6 +590,8 @@
             model = models.computeIfAbsent(entry.model(), m -> settings.tellsStart()
                     ? new ModelState(new Samples(KEPT_ARRIVALS), MODEL_PRIOR)
                     : new ModelState(roughWaits, WAIT_PRIOR));
+            firstTurn = (long) (draw(Math.round(entry.startedAt() * MILLIS), entry.cell().value())
+                    * settings.dispatchers());
             named = true;
             ready = entry.readiness() == Listing.Readiness.ACTIVE;
             if (again) {
@@ -627,9 +631,9 @@
         /** Guards against believing only the lucky: what waits past its model's mean has not started yet. */
         void noteWaiting() {
             // A silent worker's launches tell of the worker, not of its model.
-            for (int i = 0; i < out.size() && settings.tellsBegun() && !silent; i++) {
+            for (int i = 0; i < out.size() && !silent; i++) {
                 model.stillWaiting += out.get(i).hasStarted() ? 0
-                        : Math.max(0, out.get(i).unexplained(now) - settings.begunAfter() - model.unseenNow);
+                        : Math.max(0, overdue(out.get(i)) - model.unseenNow);
             }
         }
 
@@ -758,9 +762,7 @@
         /** Dispatchers go by turns of a window each, reckoned from the start that all read in the list. */
         private boolean hasTurn() {
             long turn = (long) (Math.max(0, now - listing.startedAt()) / settings.tipWindow());
-            long first = (long) (draw(Math.round(listing.startedAt() * MILLIS), listing.cell().value())
-                    * settings.dispatchers());
-            return (first + turn) % settings.dispatchers() == settings.position();
+            return (firstTurn + turn) % settings.dispatchers() == settings.position();
         }
 
         void sentCold(double work) {
@@ -835,14 +837,19 @@
 
         /** Guards against sending into a stopped queue: a launch still waiting tells before a start. */
         private double overdue() {
-            for (int i = 0; i < out.size() && settings.tellsBegun(); i++) {
+            for (int i = 0; i < out.size(); i++) {
                 if (!out.get(i).hasStarted()) {
-                    return out.get(i).unexplained(now) - settings.begunAfter();
+                    return overdue(out.get(i));
                 }
             }
             return 0;
         }
 
+        /** How far a launch that has not started is past the first word due of it; under 0 before. */
+        private double overdue(Launch launch) {
+            return launch.unexplained(now) - settings.begunAfter();
+        }
+
         /** Equation 3 of the paper for one worker, and the prices that the settings put on the choice. */
         double admittanceCost(Handle h, double kappa) {
             double run = h.work / speed();
--- a/daemon/src/main/java/wheelroute/decision/Settings.java
+++ b/daemon/src/main/java/wheelroute/decision/Settings.java
@@ -32,14 +32,9 @@
         double tipWindow,
         double crossZonePrice) {
 
-    /** Whether it is told, at once or by the first progress, that a launch has begun. */
-    public boolean tellsBegun() {
-        return tellsStart || progressEvery > 0;
-    }
-
-    /** How long a launch that has begun may go on without a word of it. */
+    /** How long a launch that has begun goes on without a word of it; for ever where none is told. */
     public double begunAfter() {
-        return tellsStart ? 0 : progressEvery;
+        return tellsStart ? 0 : progressEvery > 0 ? progressEvery : Double.POSITIVE_INFINITY;
     }
 
     /** The seed is new with every file, and changes nothing that an operator set. */
--- a/kit/src/main/java/wheelroute/kit/scenario/DaemonSettings.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/DaemonSettings.java
@@ -52,7 +52,6 @@
         return pairs;
     }
 
-    /** For the decisions alone, read by the daemon's own reader. */
     /** What one of the dispatchers is told: the same, and its place among them. */
     public static Map<String, String> pairsOf(int dispatcher, Map<String, String> pairs) {
         Map<String, String> own = new LinkedHashMap<>(pairs);
@@ -60,6 +59,7 @@
         return own;
     }
 
+    /** For the decisions alone, read by the daemon's own reader. */
     public static Settings settings(long seed, Map<String, String> pairs) throws ConfigException {
         Map<String, String> all = new LinkedHashMap<>(pairs);
         // As the daemon does on sockets.
