The start script takes carriage returns and a size on a line of its own, as before

Cause: reading by the shell's own words, deploy/run.sh stopped at the line that names memory_mb even if the number was on the next one, and left a carriage return in the text, which the pipeline it replaced took out. Such a file got the usual heap, not its own.

Change: reading stops once a digit has come after the name, and a line's last control character is dropped. The test's table has such a file; it failed before.

--- a/daemon/src/test/java/wheelroute/StartScriptTest.java
+++ b/daemon/src/test/java/wheelroute/StartScriptTest.java
@@ -23,6 +23,7 @@
             {"{\"limits\":{\"cores\":1.0,\"memory_mb\":80,\"sockets\":9}}", "-Xmx35m"},
             {"{\"known\":{\"servers\":[{\"a\":{}}]},\"limits\":{\"memory_mb\":80}}", "-Xmx35m"},
             {blanks, "-Xmx55m"},
+            {"{\"limits\":\r\n{\"memory_mb\":\r\n80\r\n}}", "-Xmx35m"},
             {"{\"limits\":{\"memory_mb\":20}}", "-Xmx16m"},
             {"{\"limits\":{\"memory_mb\":4000}}", "-Xmx96m"},
             // What is odd gets the usual size: the program says what is wrong with it.
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -10,9 +10,10 @@
 # What cannot be read is the program's to tell, with the file or the key that is at fault.
 if [ -r "$LB_CONFIG" ] && [ ! -d "$LB_CONFIG" ]; then
     while read -r line || [ -n "$line" ]; do
-        text="$text $line"
+        # A carriage return is a blank to JSON, but not to the shell.
+        text="$text ${line%[[:cntrl:]]}"
         # As soon as it is there: a shell reads byte by byte, and the list of workers may be long.
-        case $line in *'"memory_mb"'*) break ;; esac
+        case $line in *'"memory_mb"'*[0-9]*) break ;; esac
     done < "$LB_CONFIG"
 fi
 # Without blanks, as JSON may hold them anywhere: split at them, and joined by an empty IFS.
