An operators' door with READY and STATS; a second process may listen beside the first

Change: config reads admin and LB_ADMIN; net.admin answers one line a connection; Counters counts answers by offering and launches once written, and prints for the door and /metrics alike; what is avoided is asked of the policy. With a door the clients' address is shared (SO_REUSEPORT). A listening socket is let go by the selector, emptied, then closed: before, the close reset what waited between two rounds of the selector. ServiceTest's stand-ins moved to ServiceHarness.

--- a/daemon/src/main/java/wheelroute/config/Config.java
+++ b/daemon/src/main/java/wheelroute/config/Config.java
@@ -3,11 +3,13 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import wheelroute.decision.Settings;
 
 /**
  * What one dispatcher is told. Times in seconds.
  *
+ * @param admin where operators call; null for nowhere
  * @param sockets how many descriptors the process may hold
  * @param memory how many bytes the process may take; NaN when not told
  * @param known the remembered list of workers, as the JSON that discovery would send; null for none
@@ -15,14 +17,15 @@
  * @param idleLimit a worker closes a connection that has been idle so long
  * @param longestOuterLimit no submission waits longer
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
-        double memory, byte[] known, Settings settings, double connectLimit, double idleLimit,
-        double longestOuterLimit) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
+        InetSocketAddress admin, int sockets, double memory, byte[] known, Settings settings,
+        double connectLimit, double idleLimit, double longestOuterLimit) {
     /** The keys by which another configuration differs in what is used only at the start. */
     public List<String> waitingForRestart(Config other) {
         List<String> keys = new ArrayList<>();
         differs(keys, "name", name, other.name);
         differs(keys, "listen", listen, other.listen);
+        differs(keys, "admin", admin, other.admin);
         differs(keys, "limits.sockets", sockets, other.sockets);
         differs(keys, "limits.memory_mb", memory, other.memory);
         differs(keys, "settings", settings, other.settings.withSeed(settings.seed()));
@@ -33,7 +36,7 @@
     }
 
     private static void differs(List<String> keys, String key, Object one, Object other) {
-        if (!one.equals(other)) {
+        if (!Objects.equals(one, other)) {
             keys.add(key);
         }
     }
--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -136,7 +136,8 @@
         String idle = "permissions.conn_idle_us";
         String discovery = again && file.containsKey("discovery") ? "" : "LB_DISCOVERY";
         return new Config(value("LB_NAME", "name"), address("LB_LISTEN", "listen"),
-                address(discovery, "discovery"), (int) sockets, memory, known, settings,
+                address(discovery, "discovery"), optional("LB_ADMIN", "admin"), (int) sockets, memory, known,
+                settings,
                 positive(connect, reader.seconds(connect, USUAL_CONNECT)),
                 positive(idle, reader.seconds(idle, USUAL_IDLE)), longest);
     }
@@ -166,6 +167,12 @@
         return value;
     }
 
+    /** Null where neither names one. */
+    private InetSocketAddress optional(String variable, String key) throws ConfigException {
+        return environment.getOrDefault(variable, file.getOrDefault(key, "")).isEmpty() ? null
+                : address(variable, key);
+    }
+
     private InetSocketAddress address(String variable, String key) throws ConfigException {
         String value = value(variable, key);
         InetSocketAddress address = parse(value);
--- a/daemon/src/main/java/wheelroute/config/TomlFile.java
+++ b/daemon/src/main/java/wheelroute/config/TomlFile.java
@@ -55,6 +55,7 @@
         put("name", root.text("name", "wheelroute"));
         optional("listen", root.text("listen", ""));
         optional("discovery", root.text("discovery", ""));
+        optional("admin", root.text("admin", ""));
         optional("seed", root.text("seed", ""));
         TomlFields limits = root.table("limits");
         put("limits.memory_mb", limits.number("memory_mb", 192, 32, 1 << 20));
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -206,6 +206,12 @@
         workers.values().removeIf(w -> !w.ready && w.out.isEmpty());
     }
 
+    /** Listed workers avoided now: they drain, rest after a launch that came back, or are on probation. */
+    public int avoided() {
+        return (int) workers.values().stream().filter(w -> w.named
+                && (!w.ready || w.probation || now < w.fullUntil)).count();
+    }
+
     // ---- submissions
 
     /** Takes a submission; null when the settings have no such offering. */
--- a/daemon/src/main/java/wheelroute/net/Counters.java
+++ b/daemon/src/main/java/wheelroute/net/Counters.java
@@ -1,17 +1,19 @@
 package wheelroute.net;
 
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import wheelroute.decision.Ids;
 
-/** What was done so far, printed as Prometheus text on request and at exit. */
+/** What was done so far: each thing is counted here, once, and printed from here wherever it is asked for. */
 public final class Counters {
     /** One row a figure: its name, and a label where several figures share the name. */
     public enum Kind {
         TAKEN("submissions_taken_total", ""),
         NOT_TAKEN("messages_not_taken_total", ""),
         LAUNCHED("launches_total", ""),
-        FULFILLED("answers_total", "kind=\"fulfilled\""),
-        BOUNCED("answers_total", "kind=\"bounced\""),
-        SCRAPPED("answers_total", "kind=\"scrapped\""),
+        WRITTEN("launches_written_total", ""),
         CLIENT_GONE("clients_gone_total", ""),
         CLIENTS_OPENED("connections_total", "peer=\"client\""),
         WORKERS_OPENED("connections_total", "peer=\"worker\""),
@@ -27,10 +29,25 @@
         }
     }
 
+    /** The final answers, counted by offering. */
+    public enum Answer {
+        FULFILLED, BOUNCED, SCRAPPED;
+
+        private String label() {
+            return "kind=\"" + name().toLowerCase(Locale.ROOT) + "\"";
+        }
+    }
+
     private static final String PREFIX = "wheelroute_";
 
     private final long[] kinds = new long[Kind.values().length];
     private final long[] ends = new long[End.values().length];
+    /** A row from the start on for each offering: a figure that is missing is no 0 to who reads them. */
+    private final Map<Ids.Offering, long[]> answers = new LinkedHashMap<>();
+
+    public Counters(List<Ids.Offering> offerings) {
+        offerings.forEach(offering -> answers.put(offering, new long[Answer.values().length]));
+    }
 
     public void count(Kind kind) {
         kinds[kind.ordinal()]++;
@@ -40,30 +57,73 @@
         ends[end.ordinal()]++;
     }
 
+    public void count(Ids.Offering offering, Answer answer) {
+        answers.get(offering)[answer.ordinal()]++;
+    }
+
+    public long value(Kind kind) {
+        return kinds[kind.ordinal()];
+    }
+
+    public Iterable<Ids.Offering> offerings() {
+        return answers.keySet();
+    }
+
+    public long value(Ids.Offering offering, Answer answer) {
+        return answers.get(offering)[answer.ordinal()];
+    }
+
     /** Prometheus text; the gauges are what is open at this moment. */
-    public String text(int submissionsOpen, int clientsOpen, int workersOpen) {
+    public String text(Gauges now) {
         StringBuilder out = new StringBuilder();
         String last = "";
         for (Kind kind : Kind.values()) {
             if (!kind.name.equals(last)) {
-                out.append("# TYPE ").append(PREFIX).append(kind.name).append(" counter\n");
+                type(out, kind.name, "counter");
                 last = kind.name;
             }
             line(out, kind.name, kind.label, kinds[kind.ordinal()]);
         }
-        out.append("# TYPE ").append(PREFIX).append("launch_ends_total counter\n");
+        type(out, "answers_total", "counter");
+        for (Answer answer : Answer.values()) {
+            line(out, "answers_total", answer.label(),
+                    answers.values().stream().mapToLong(row -> row[answer.ordinal()]).sum());
+        }
+        type(out, "offering_answers_total", "counter");
+        answers.forEach((offering, row) -> {
+            for (Answer answer : Answer.values()) {
+                line(out, "offering_answers_total", "offering=\"" + escaped(offering.name()) + "\","
+                        + answer.label(), row[answer.ordinal()]);
+            }
+        });
+        type(out, "launch_ends_total", "counter");
         for (End end : End.values()) {
             line(out, "launch_ends_total", "end=\"" + end.name().toLowerCase(Locale.ROOT) + "\"",
                     ends[end.ordinal()]);
         }
-        out.append("# TYPE ").append(PREFIX).append("submissions_open gauge\n");
-        line(out, "submissions_open", "", submissionsOpen);
-        out.append("# TYPE ").append(PREFIX).append("connections_open gauge\n");
-        line(out, "connections_open", "peer=\"client\"", clientsOpen);
-        line(out, "connections_open", "peer=\"worker\"", workersOpen);
+        gauge(out, "submissions_open", now.open());
+        gauge(out, "submissions_pending", now.pending());
+        type(out, "connections_open", "gauge");
+        line(out, "connections_open", "peer=\"client\"", now.clients());
+        line(out, "connections_open", "peer=\"worker\"", now.workers());
+        gauge(out, "workers_listed", now.listed());
+        gauge(out, "workers_avoided", now.avoided());
         return out.toString();
     }
 
+    private static String escaped(String label) {
+        return label.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+    }
+
+    private static void type(StringBuilder out, String name, String type) {
+        out.append("# TYPE ").append(PREFIX).append(name).append(' ').append(type).append('\n');
+    }
+
+    private static void gauge(StringBuilder out, String name, long value) {
+        type(out, name, "gauge");
+        line(out, name, "", value);
+    }
+
     private static void line(StringBuilder out, String name, String label, long value) {
         out.append(PREFIX).append(name);
         if (!label.isEmpty()) {
--- a/daemon/src/main/java/wheelroute/net/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/Exchange.java
@@ -34,10 +34,6 @@
         limit = loop.later(submission.outerLimit() - loop.now(), this::outOfTime);
     }
 
-    boolean isAnswered() {
-        return answered;
-    }
-
     /** Decides where it goes. */
     void begin(Policy policy) {
         handle = policy.take(submission);
@@ -74,7 +70,7 @@
             exchanges.counters().count(end);
             exchanges.turn(() -> {
                 if (end == End.DONE && !answered) {
-                    answer(Counters.Kind.FULFILLED, ClientAnswer.fulfilled(result));
+                    answer(Counters.Answer.FULFILLED, ClientAnswer.fulfilled(result));
                 }
                 handle.ended(number, end.outcome(), answered, new LoadReport(freeSlots));
                 closeIfOver();
@@ -97,10 +93,10 @@
         launches.get(number).giveUp(End.CALLED_OFF);
     }
 
-    void answer(Counters.Kind kind, ClientAnswer answer) {
+    void answer(Counters.Answer kind, ClientAnswer answer) {
         if (!answered) {
             over();
-            exchanges.counters().count(kind);
+            exchanges.counters().count(submission.offering(), kind);
             client.answer(answer);
         }
     }
@@ -108,6 +104,7 @@
     /** After the end nothing more may go out: what is not written yet is ended now. */
     private void over() {
         answered = true;
+        exchanges.noLongerPending();
         for (Launch launch : launches) {
             if (launch.flight != null && !launch.flight.isWritten()) {
                 launch.giveUp(End.CALLED_OFF);
@@ -135,7 +132,7 @@
         exchanges.turn(() -> {
             if (!answered) {
                 // Only a fault in the decisions leaves it open here; nothing is promised about the effect.
-                answer(Counters.Kind.SCRAPPED, ClientAnswer.scrapped());
+                answer(Counters.Answer.SCRAPPED, ClientAnswer.scrapped());
             }
             exchanges.remove(submission.id(), message.id());
         });
--- a/daemon/src/main/java/wheelroute/net/Exchanges.java
+++ b/daemon/src/main/java/wheelroute/net/Exchanges.java
@@ -60,6 +60,8 @@
     private final Map<String, Settings.Offering> offerings = new HashMap<>();
     private final Map<String, Ids.Tenant> tenants = new HashMap<>();
     private ListWatch watch;
+    /** Taken, and neither answered nor left by their clients. */
+    private int pending;
     private boolean deciding;
     private boolean draining;
     private double drainEnd;
@@ -139,6 +141,7 @@
         }
         if (mustComeBack(message, offering)) {
             counters.count(Counters.Kind.NOT_TAKEN);
+            counters.count(offering.id(), Counters.Answer.BOUNCED);
             answers.answer(ClientAnswer.bounced(adviceFor(0)));
             return () -> { };
         }
@@ -152,6 +155,7 @@
         open.put(submission.id(), exchange);
         openIds.add(message.id());
         counters.count(Counters.Kind.TAKEN);
+        pending++;
         turn(() -> exchange.begin(policy));
         return exchange;
     }
@@ -163,7 +167,21 @@
 
     @Override
     public String metrics() {
-        return counters.text(open.size(), clients.open(), workers.open());
+        return counters.text(gauges());
+    }
+
+    Gauges gauges() {
+        policy.at(loop.now());
+        return new Gauges(open.size(), pending, clients.open(), workers.open(), names.size(),
+                policy.avoided());
+    }
+
+    @Override
+    public void turnedAway(ClientMessage message) {
+        Settings.Offering offering = offerings.get(message.offering());
+        if (offering != null) {
+            counters.count(offering.id(), Counters.Answer.BOUNCED);
+        }
     }
 
     // ---- from discovery
@@ -222,12 +240,12 @@
 
     @Override
     public void bounce(Ids.Submission submission, double retryAfter) {
-        open.get(submission).answer(Counters.Kind.BOUNCED, ClientAnswer.bounced(adviceFor(retryAfter)));
+        open.get(submission).answer(Counters.Answer.BOUNCED, ClientAnswer.bounced(adviceFor(retryAfter)));
     }
 
     @Override
     public void scrap(Ids.Submission submission) {
-        open.get(submission).answer(Counters.Kind.SCRAPPED, ClientAnswer.scrapped());
+        open.get(submission).answer(Counters.Answer.SCRAPPED, ClientAnswer.scrapped());
     }
 
     @Override
@@ -287,8 +305,12 @@
         return Math.min(settings.longestRetryAfter(), drainEnd + RESTART - loop.now());
     }
 
-    long unanswered() {
-        return open.values().stream().filter(exchange -> !exchange.isAnswered()).count();
+    int unanswered() {
+        return pending;
+    }
+
+    void noLongerPending() {
+        pending--;
     }
 
     /** From here on every launch ends unsent, so that the decisions are left with an answer. */
--- a/daemon/src/main/java/wheelroute/net/Loop.java
+++ b/daemon/src/main/java/wheelroute/net/Loop.java
@@ -38,6 +38,8 @@
     private static final int READ_BUFFER = 16 * 1024;
     /** Connections waiting to be accepted: a burst of clients must not be refused by the kernel. */
     private static final int BACKLOG = 512;
+    /** Any wait that is not 0 takes the selector through a round. */
+    private static final double ROUND = 0.001;
     private static final double MILLIS = 1e3;
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
 
@@ -160,9 +162,18 @@
      * addresses, each for a peer of its own.
      */
     public ServerSocketChannel listen(InetSocketAddress address, Peer peer) throws IOException {
+        return listen(address, peer, false);
+    }
+
+    /** The same; shared, another process may listen there too, if it wants so as well. */
+    public ServerSocketChannel listen(InetSocketAddress address, Peer peer, boolean shared)
+            throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         // A restart follows within moments of the last end, under the same address.
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        if (shared) {
+            server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        }
         server.bind(address, BACKLOG);
         server.configureBlocking(false);
         listeners.put(server.getLocalAddress(), peer);
@@ -178,6 +189,24 @@
         }
     }
 
+    /**
+     * The same without a connection lost: one that waits to be accepted would be reset by the close. The
+     * selector holds on to a socket until its next round, in which more could come; so it lets go first.
+     */
+    public void unlistenEmptied(ServerSocketChannel server) {
+        server.keyFor(selector).cancel();
+        later(ROUND, () -> {
+            try {
+                for (SocketChannel next = server.accept(); next != null; next = server.accept()) {
+                    manager.accepted(next);
+                }
+                unlisten(server);
+            } catch (IOException e) {
+                LOG.warn("a listening socket did not close", e);
+            }
+        });
+    }
+
     private Peer peerAt(InetSocketAddress local) {
         Peer peer = listeners.get(local);
         // Listening on all addresses, it accepts on one of them.
--- a/daemon/src/main/java/wheelroute/net/Service.java
+++ b/daemon/src/main/java/wheelroute/net/Service.java
@@ -10,13 +10,16 @@
 import org.slf4j.LoggerFactory;
 import wheelroute.config.Config;
 import wheelroute.config.ConfigException;
+import wheelroute.decision.Settings;
+import wheelroute.net.admin.Door;
+import wheelroute.net.admin.Operators;
 import wheelroute.net.clients.Clients;
 import wheelroute.net.list.ListWatch;
 import wheelroute.net.list.WorkerList;
 import wheelroute.net.workers.Workers;
 
 /** One dispatcher on sockets: its parts put together, started, and brought to an end. */
-public final class Service {
+public final class Service implements Operators {
     /** Descriptors of the runtime: its archives, the selector, the listening socket, discovery; and slack. */
     private static final int OWN_SOCKETS = 40;
     /** Of the others, for clients and for workers; the rest are connections on their way out. */
@@ -37,16 +40,18 @@
     private final Config config;
     private InetSocketAddress discovery;
     private final Loop loop;
-    private final Counters counters = new Counters();
+    private final Counters counters;
     private final Workers workers;
     private final CompletableFuture<Void> listening = new CompletableFuture<>();
     private final CountDownLatch drained = new CountDownLatch(1);
     private Exchanges exchanges;
     private Clients clients;
+    private Door door;
 
     public Service(Config config) {
         this.config = config;
         discovery = config.discovery();
+        counters = new Counters(config.settings().offerings().stream().map(Settings.Offering::id).toList());
         loop = new Loop(new Clock(), config.connectLimit());
         workers = new Workers(loop, counters, part(WORKERS_PART), config.idleLimit());
         // Ahead of all else that may be posted: a signal can come before the start is through.
@@ -86,14 +91,28 @@
         clients = new Clients(loop, exchanges, counters, part(CLIENTS_PART));
         exchanges.clients(clients);
         try {
-            clients.listen(config.listen());
+            // A process that is to take this one's place begins beside it, where there is a door to ask it.
+            clients.listen(config.listen(), config.admin() != null);
         } catch (IOException e) {
             throw new ConfigException("listen", "cannot be used: " + e.getMessage());
         }
+        if (config.admin() != null) {
+            openDoor();
+        }
         // With the port that it got: 0 leaves the choice to the system.
         LOG.info("{} listens on {}:{}", config.name(), config.listen().getHostString(), clients.port());
     }
 
+    private void openDoor() throws ConfigException {
+        door = new Door(loop, this);
+        try {
+            door.listen(config.admin());
+        } catch (IOException e) {
+            throw new ConfigException("admin", "cannot be used: " + e.getMessage());
+        }
+        LOG.info("operators call {}:{}", config.admin().getHostString(), door.port());
+    }
+
     private WorkerList known() throws ConfigException {
         try {
             return WorkerList.decode(config.known());
@@ -103,13 +122,34 @@
     }
 
     private int part(double part) {
-        return (int) (part * (config.sockets() - OWN_SOCKETS));
+        int forOperators = config.admin() == null ? 0 : Door.DESCRIPTORS;
+        return (int) (part * (config.sockets() - OWN_SOCKETS - forOperators));
     }
 
     public int port() {
         return clients.port();
     }
 
+    /** Of the operators' door, which there must be. */
+    public int adminPort() {
+        return door.port();
+    }
+
+    @Override
+    public String whyNotReady() {
+        return exchanges.isDraining() ? "draining" : null;
+    }
+
+    @Override
+    public Counters counters() {
+        return counters;
+    }
+
+    @Override
+    public Gauges gauges() {
+        return exchanges.gauges();
+    }
+
     /** From any thread: applies what can be of a configuration read anew; a faulty one changes nothing. */
     public void reload(Callable<Config> reader) {
         loop.post(() -> {
@@ -146,11 +186,7 @@
         double end = loop.now() + Math.min(LONGEST_DRAIN, config.longestOuterLimit()) + SPARE;
         exchanges.drain(end);
         loop.later(STILL_LISTENING, () -> {
-            try {
-                clients.stopListening();
-            } catch (IOException e) {
-                LOG.warn("the listening socket did not close", e);
-            }
+            clients.stopListening();
             look(end);
         });
     }
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/admin/Call.java
@@ -0,0 +1,84 @@
+package wheelroute.net.admin;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import wheelroute.net.Link;
+import wheelroute.net.Loop;
+
+/** One caller: a line comes, an answer goes, the connection ends. */
+final class Call extends Link {
+    /** Longer than any call that there is. */
+    private static final int MOST_LINE = 64;
+    /** From the opening to the end of the line, and again for the caller to read the answer and leave. */
+    private static final double PATIENCE = 2;
+
+    private final Door door;
+    private final StringBuilder line = new StringBuilder();
+    private Loop.Timer patience;
+    private boolean answered;
+
+    Call(EndPoint endPoint, Loop loop, Door door) {
+        super(endPoint, loop);
+        this.door = door;
+    }
+
+    @Override
+    public void onOpen() {
+        door.opened(this);
+        patience = loop.later(PATIENCE, this::close);
+        super.onOpen();
+    }
+
+    @Override
+    protected void received(ByteBuffer in) {
+        while (in.hasRemaining() && !answered) {
+            char next = (char) in.get();
+            if (next == '\n') {
+                answer(door.answer(line.toString().strip()));
+            } else if (line.append(next).length() > MOST_LINE) {
+                answer("fail a call is one line of at most " + MOST_LINE + " characters\n");
+            }
+        }
+    }
+
+    /** The end of a caller's sending ends its line too. */
+    @Override
+    protected void atEnd() {
+        if (answered || line.isEmpty()) {
+            close();
+        } else {
+            answer(door.answer(line.toString().strip()));
+        }
+    }
+
+    @Override
+    protected void broke(Throwable cause) {
+        close();
+    }
+
+    private void answer(String text) {
+        answered = true;
+        patience.cancel();
+        patience = loop.later(PATIENCE, this::close);
+        // Half closed, so that what a caller sends on cannot take the answer back with a reset.
+        Callback written = Callback.from(() -> getEndPoint().shutdownOutput(), cause -> loop.post(this::close));
+        getEndPoint().write(written, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Override
+    public void close() {
+        if (patience != null) {
+            patience.cancel();
+        }
+        door.closed(this);
+        super.close();
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        door.closed(this);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/admin/Door.java
@@ -0,0 +1,71 @@
+package wheelroute.net.admin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import wheelroute.net.Loop;
+
+/** The operators' address and the few callers on it: the oldest makes room for one too many. */
+public final class Door implements Loop.Peer {
+    /** Callers at one time: scripts and a person or two; what they hold is taken from nobody else. */
+    public static final int MOST_CALLERS = 8;
+    /** The callers', the listening socket's and one for a caller who waits to be let in. */
+    public static final int DESCRIPTORS = MOST_CALLERS + 2;
+
+    private final Loop loop;
+    private final Operators operators;
+    private final Set<Call> callers = new LinkedHashSet<>();
+    private ServerSocketChannel server;
+
+    public Door(Loop loop, Operators operators) {
+        this.loop = loop;
+        this.operators = operators;
+    }
+
+    public void listen(InetSocketAddress address) throws IOException {
+        server = loop.listen(address, this);
+    }
+
+    /** The port is the system's choice when the configuration names 0. */
+    public int port() {
+        return server.socket().getLocalPort();
+    }
+
+    @Override
+    public Connection opened(EndPoint endPoint) {
+        return new Call(endPoint, loop, this);
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+        // A caller whose connection broke at once had asked nothing yet.
+    }
+
+    /** The first of them has had the longest time to say what it wants. */
+    void opened(Call call) {
+        if (callers.size() >= MOST_CALLERS) {
+            callers.iterator().next().close();
+        }
+        callers.add(call);
+    }
+
+    void closed(Call call) {
+        callers.remove(call);
+    }
+
+    String answer(String call) {
+        switch (call) {
+            case "READY":
+                String reason = operators.whyNotReady();
+                return reason == null ? "ok ready\n" : "fail " + reason + "\n";
+            case "STATS":
+                return Figures.of(operators.counters(), operators.gauges()) + "eof\n";
+            default:
+                return "fail unknown call: READY or STATS\n";
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/admin/Operators.java
@@ -0,0 +1,14 @@
+package wheelroute.net.admin;
+
+import wheelroute.net.Counters;
+import wheelroute.net.Gauges;
+
+/** What the door may ask. */
+public interface Operators {
+    /** Null while this process takes clients; else why it does not. */
+    String whyNotReady();
+
+    Counters counters();
+
+    Gauges gauges();
+}
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -41,8 +41,9 @@
         this.most = most;
     }
 
-    public void listen(InetSocketAddress address) throws IOException {
-        server = loop.listen(address, this);
+    /** Shared: a second process may listen there too, and each is dealt a part of the connections. */
+    public void listen(InetSocketAddress address, boolean shared) throws IOException {
+        server = loop.listen(address, this, shared);
     }
 
     /** The port is the system's choice when the configuration names 0. */
@@ -105,6 +106,10 @@
         return open.size();
     }
 
+    void turnedAway(ClientMessage message) {
+        submitters.turnedAway(message);
+    }
+
     void notTaken() {
         counters.count(Counters.Kind.NOT_TAKEN);
     }
@@ -127,8 +132,8 @@
     }
 
     /** No new connections, and none kept between two submissions but by a dispatcher that serves on. */
-    public void stopListening() throws IOException {
-        loop.unlisten(server);
+    public void stopListening() {
+        loop.unlistenEmptied(server);
         if (!closesConnections()) {
             return;
         }
--- a/daemon/src/main/java/wheelroute/net/clients/Submitters.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Submitters.java
@@ -16,6 +16,9 @@
     /** What is not taken is told why: for want of such an offering, say. */
     Taken take(ClientMessage message, Answers answers) throws BadMessage;
 
+    /** A whole message that is told to come back, for want of a place, and not taken. */
+    void turnedAway(ClientMessage message);
+
     boolean isDraining();
 
     /** Whether an answer is the last on its connection, as the process is about to end. */
--- a/daemon/src/main/java/wheelroute/net/workers/Flight.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Flight.java
@@ -1,5 +1,6 @@
 package wheelroute.net.workers;
 
+import wheelroute.net.Counters;
 import wheelroute.net.End;
 
 /** One launch on its way: connecting, written, ended. */
@@ -7,14 +8,16 @@
     final LaunchMessage message;
     final double outerLimit;
     private final Launches launches;
+    private final Counters counters;
     private WorkerConnection on;
     private boolean written;
     private boolean ended;
 
-    Flight(LaunchMessage message, double outerLimit, Launches launches) {
+    Flight(LaunchMessage message, double outerLimit, Launches launches, Counters counters) {
         this.message = message;
         this.outerLimit = outerLimit;
         this.launches = launches;
+        this.counters = counters;
     }
 
     boolean hasEnded() {
@@ -32,6 +35,7 @@
 
     void written() {
         written = true;
+        counters.count(Counters.Kind.WRITTEN);
     }
 
     void started() {
--- a/daemon/src/main/java/wheelroute/net/workers/Workers.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Workers.java
@@ -46,7 +46,7 @@
 
     /** Sends a launch; its end may be told before this returns. */
     public Flight send(Ids.Worker worker, LaunchMessage message, double outerLimit, Launches launches) {
-        Flight flight = new Flight(message, outerLimit, launches);
+        Flight flight = new Flight(message, outerLimit, launches, counters);
         Station station = stations.get(worker);
         if (station == null) {
             flight.end(End.REFUSED);
--- /dev/null
+++ b/daemon/src/test/java/wheelroute/net/OperatingTest.java
@@ -0,0 +1,193 @@
+package wheelroute.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.World;
+import wheelroute.config.Config;
+import wheelroute.config.ConfigException;
+import wheelroute.decision.Effect;
+
+/** What staff do with a dispatcher in service: the calls at its door, and the figures they read there. */
+public class OperatingTest extends ServiceHarness {
+    @BeforeMethod
+    public void wantDoor() {
+        hasDoor = true;
+    }
+
+    private Socket caller() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), service.adminPort());
+        open.add(socket);
+        socket.setSoTimeout(PATIENCE);
+        return socket;
+    }
+
+    private String call(String text) throws IOException {
+        try (Socket socket = caller()) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private Map<String, Integer> figures() throws IOException {
+        String text = call("STATS\n");
+        assertTrue(text.endsWith("\neof\n"), text);
+        Map<String, Integer> figures = new HashMap<>();
+        for (String line : text.substring(0, text.length() - 4).split("\n")) {
+            assertTrue(line.matches("app\\.[a-z_.]+:\\d+\\|[cg]"), line);
+            figures.put(line.substring(4, line.indexOf(':')),
+                    Integer.parseInt(line.substring(line.indexOf(':') + 1, line.indexOf('|'))));
+        }
+        return figures;
+    }
+
+    @DataProvider
+    public Object[][] calls() {
+        return new Object[][] {
+            {"READY\n", "ok ready\n"},
+            {"READY\r\n", "ok ready\n"},
+            {"READY\nREADY\n", "ok ready\n"},
+            {"ready\n", "fail unknown call: READY or STATS\n"},
+            {"\n", "fail unknown call: READY or STATS\n"},
+            {"x".repeat(65), "fail a call is one line of at most 64 characters\n"},
+            {"GET / HTTP/1.1\r\n\r\n", "fail unknown call: READY or STATS\n"},
+        };
+    }
+
+    @Test(dataProvider = "calls", timeOut = PATIENCE)
+    public void answersOneLine(String text, String answer) throws Exception {
+        serve(Effect.IDEMPOTENT);
+        assertEquals(call(text), answer);
+    }
+
+    /** A caller's end of sending ends its line; one byte at a time makes a line too. */
+    @Test(timeOut = PATIENCE)
+    public void takesALineInPieces() throws Exception {
+        serve(Effect.IDEMPOTENT);
+        Socket socket = caller();
+        socket.setTcpNoDelay(true);
+        for (byte piece : "READY".getBytes(StandardCharsets.UTF_8)) {
+            socket.getOutputStream().write(piece);
+            assertEquals(call("READY\n"), "ok ready\n");
+        }
+        socket.shutdownOutput();
+        assertEquals(new String(socket.getInputStream().readAllBytes()), "ok ready\n");
+    }
+
+    /** Callers who say nothing, or half a call, stop neither the others nor any client, and are let go. */
+    @Test(timeOut = PATIENCE)
+    public void letsSilentCallersGo() throws Exception {
+        serve(Effect.IDEMPOTENT, DONE);
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            silent.add(caller());
+            silent.get(i).getOutputStream().write("REA".getBytes(StandardCharsets.UTF_8));
+        }
+        assertEquals(call("READY\n"), "ok ready\n");
+        assertEquals(status(ask(connect(), post(10))), 200);
+        for (Socket socket : silent) {
+            assertEquals(socket.getInputStream().read(), -1);
+        }
+    }
+
+    /** Each figure against what the peers saw of a mixed history. */
+    @Test(timeOut = PATIENCE)
+    public void figuresAreWhatPeersSaw() throws Exception {
+        // Served; turned away and served; errors to the last try; served after a break; still at work.
+        workers.answers.addAll(List.of(DONE, TURNED_AWAY, DONE, BREAK, DONE, TAKEN));
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen(), workers.listen()));
+        assertEquals(figures(), Map.of("completed.job", 0, "completed.patient", 0, "rejected.job", 0,
+                "rejected.patient", 0, "failed.job", 0, "failed.patient", 0, "upstream_requests", 0,
+                "pending", 0, "members", 2, "members_unavailable", 0));
+        for (int i = 0; i < 3; i++) {
+            String path = i == 1 ? "/patient/" : "/job/";
+            assertEquals(status(ask(connect(), post(10).replace("/job/", path))), 200);
+        }
+        // No figure moves for what is no submission.
+        assertEquals(status(ask(connect(), post(10).replace("/job/", "/other/"))), 404);
+        assertEquals(status(ask(connect(), post(10).replace("X-Timeout", "X-Other"))), 400);
+        Socket waiting = connect();
+        waiting.getOutputStream().write(post(10).getBytes(StandardCharsets.UTF_8));
+        while (workers.messages.get() < 6) {
+            workers.next();
+        }
+        assertEquals(status(ask(connect(), post(10))), 409);
+        Map<String, Integer> now = figures();
+        assertEquals(List.of(now.get("completed.job"), now.get("completed.patient"), now.get("pending"),
+                now.get("upstream_requests")), List.of(2, 1, 1, 6));
+        waiting.close();
+        while (figures().get("pending") > 0) {
+            Thread.onSpinWait();
+        }
+        assertEquals(figures().get("rejected.job") + figures().get("failed.job"), 0);
+        // What finds no worker is bounced without a launch.
+        workers.answers.addAll(List.of(TURNED_AWAY, TURNED_AWAY));
+        assertEquals(status(ask(connect(), post(10))), 503);
+        now = figures();
+        assertEquals(List.of(now.get("rejected.job"), now.get("upstream_requests"),
+                now.get("members_unavailable")), List.of(1, workers.messages.get(), 2));
+        assertEquals(metric("launches_written_total"), workers.messages.get());
+        assertEquals(metric("offering_answers_total{offering=\"job\",kind=\"bounced\"}"), 1);
+        assertEquals(metric("answers_total{kind=\"fulfilled\"}"), 3);
+    }
+
+    /** One that comes too many is told to come back, and hears it counted. */
+    @Test(timeOut = PATIENCE)
+    public void countsWhatItTurnsAwayUntaken() throws Exception {
+        serve(Effect.IDEMPOTENT, 68, known(workers.listen()));
+        for (int i = 0; i < 9; i++) {
+            assertEquals(status(ask(connect(), HEALTH + "POST /jo")), 200);
+        }
+        assertEquals(status(ask(connect(), post(10))), 503);
+        assertEquals(figures().get("rejected.job").intValue(), 1);
+        assertEquals(call("READY\n"), "ok ready\n");
+    }
+
+    /** Two processes of one dispatcher share its address, and what waited at the one that ends is served. */
+    @Test(timeOut = PATIENCE)
+    public void aSecondProcessListensBesideTheFirst() throws Exception {
+        workers.answers.addAll(Collections.nCopies(40, DONE));
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        Config first = config;
+        int clientsPort = port;
+        InetSocketAddress shared = new InetSocketAddress(InetAddress.getLoopbackAddress(), clientsPort);
+        Service second = new Service(new Config("n0", shared, first.discovery(), first.admin(), 1024,
+                Double.NaN, first.known(), first.settings(), 0.5, 10, longest));
+        second.start();
+        open.add(second::drain);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            clients.add(connect());
+        }
+        service.drain();
+        service = null;
+        for (int i = 0; i < 20; i++) {
+            assertEquals(status(ask(connect(), post(10).replace("77", "" + (10 + i)))), 200);
+        }
+    }
+
+    /** A start that cannot listen ends at once, and names the key at fault. */
+    @Test(timeOut = PATIENCE)
+    public void namesATakenDoor() throws Exception {
+        InetSocketAddress taken = discovery.listen();
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        Config config = new Config("n0", any, taken, taken, 1024, Double.NaN, null,
+                new World.Given().settings(), 0.5, 10, 2);
+        String message = expectThrows(ConfigException.class, () -> new Service(config).start()).getMessage();
+        assertTrue(message.contains("'admin'"), message);
+    }
+}
--- a/daemon/src/test/java/wheelroute/net/ServiceTest.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceTest.java
@@ -4,10 +4,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
-import java.io.ByteArrayOutputStream;
-import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -15,226 +12,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import wheelroute.World;
 import wheelroute.config.Config;
 import wheelroute.config.ConfigException;
 import wheelroute.decision.Effect;
-import wheelroute.decision.Group;
-import wheelroute.decision.Ids;
-import wheelroute.decision.Settings;
-
-/** The whole dispatcher on loopback sockets, among clients, workers and a discovery that do as told. */
-public class ServiceTest {
-    private static final int PATIENCE = 20_000;
-    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    private static final String STARTED = line("started");
-    private static final String DONE = HEAD + STARTED + line("done") + "0\r\n\r\n";
-    private static final String TURNED_AWAY = "HTTP/1.1 503 X\r\n"
-            + "X-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
-    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
-    private static final String BREAK = "";
-    private static final String BREAK_LATE = HEAD + STARTED;
-    private static final String TAKEN = HEAD;
-    private static final String SILENCE = null;
-
-    private final List<AutoCloseable> open = new ArrayList<>();
-    private final Stub workers = new Stub();
-    private final Stub discovery = new Stub();
-    private double longest = 2;
-    private Config config;
-    private Service service;
-    private int port;
-
-    /** Listens, notes each message that comes, and answers the nth with the nth of what it was told. */
-    private final class Stub {
-        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
-        final BlockingQueue<Integer> closed = new LinkedBlockingQueue<>();
-        final List<String> answers = new ArrayList<>();
-        final AtomicInteger messages = new AtomicInteger();
-        final AtomicInteger connections = new AtomicInteger();
-
-        InetSocketAddress listen() throws IOException {
-            ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-            open.add(server);
-            start(() -> {
-                while (true) {
-                    Socket socket = server.accept();
-                    open.add(socket);
-                    int number = connections.incrementAndGet();
-                    start(() -> {
-                        try (socket) {
-                            serve(socket);
-                        } finally {
-                            closed.add(number);
-                        }
-                    });
-                }
-            });
-            return (InetSocketAddress) server.getLocalSocketAddress();
-        }
-
-        private void serve(Socket socket) throws IOException {
-            while (true) {
-                String message = read(socket.getInputStream());
-                int number = messages.getAndIncrement();
-                heard.add(message);
-                String answer = number < answers.size() ? answers.get(number) : SILENCE;
-                if (answer == SILENCE) {
-                    continue;
-                }
-                String id = message.replaceAll("(?s).*X-Request-ID: (\\w+).*", "$1");
-                socket.getOutputStream().write(answer.replace("ID", id).getBytes(StandardCharsets.UTF_8));
-                if (answer.equals(BREAK) || answer.equals(BREAK_LATE)) {
-                    return;
-                }
-            }
-        }
-
-        String next() throws InterruptedException {
-            String message = heard.poll(PATIENCE, TimeUnit.MILLISECONDS);
-            return message == null ? "nothing came" : message.substring(0, message.indexOf("\r\n"));
-        }
-    }
-
-    private interface Life {
-        void run() throws Exception;
-    }
-
-    private static void start(Life life) {
-        Thread thread = new Thread(() -> {
-            try {
-                life.run();
-            } catch (Exception e) {
-                // Its peer has gone, or the case is over.
-                Thread.currentThread().interrupt();
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    /** One message: its head, and as much body as that says. */
-    private static String read(InputStream in) throws IOException {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        int length = 0;
-        for (int left = -1; left != 0; left -= left > 0 ? 1 : 0) {
-            int b = in.read();
-            if (b < 0) {
-                throw new EOFException("it ended after: " + out);
-            }
-            out.write(b);
-            if (left < 0 && out.toString(StandardCharsets.UTF_8).endsWith("\r\n\r\n")) {
-                String head = out.toString(StandardCharsets.UTF_8);
-                int at = head.indexOf("Content-Length: ");
-                length = at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)));
-                left = length + 1;
-            }
-        }
-        return out.toString(StandardCharsets.UTF_8);
-    }
-
-    private static String line(String state) {
-        String line = "{\"id\":\"ID\",\"from\":\"w\",\"state\":\"" + state + "\",\"result\":\"fine\"}\n";
-        // Ids in the cases have as many letters as the word that stands for them.
-        return Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
-    }
-
-    private static String known(InetSocketAddress... addresses) {
-        StringBuilder out = new StringBuilder();
-        for (InetSocketAddress address : addresses) {
-            out.append(out.length() > 0 ? "," : "").append("{\"id\":\"w").append(address.getPort())
-                    .append("\",\"addr\":\"127.0.0.1:").append(address.getPort())
-                    .append("\",\"zone\":\"here\",\"kind\":\"m\",\"cell\":1,\"state\":\"ready\"}");
-        }
-        return "{\"version\":5,\"full\":true,\"servers\":[" + out + "]}";
-    }
-
-    private void serve(Effect effect, int sockets, String known) throws Exception {
-        serve(effect, sockets, known, 1);
-    }
-
-    private void serve(Effect effect, int sockets, String known, int dispatchers) throws Exception {
-        World.Given given = new World.Given();
-        given.dispatchers = dispatchers;
-        given.effect = effect;
-        given.mustAsk = true;
-        given.mayCopy = false;
-        Settings settings = given.settings();
-        config = new Config("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                discovery.listen(), sockets, Double.NaN, known.getBytes(StandardCharsets.UTF_8), settings,
-                0.5, 10, longest);
-        service = new Service(config);
-        service.start();
-        port = service.port();
-    }
-
-    private Config config(InetSocketAddress otherDiscovery) {
-        return new Config("n0", config.listen(), otherDiscovery, config.sockets(), config.memory(),
-                config.known(), config.settings(), 0.5, 10, longest);
-    }
-
-    private void serve(Effect effect, String... answers) throws Exception {
-        workers.answers.addAll(List.of(answers));
-        serve(effect, 1024, known(workers.listen(), workers.listen()));
-    }
-
-    private Socket connect() throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-        open.add(socket);
-        socket.setSoTimeout(PATIENCE);
-        return socket;
-    }
-
-    private static String post(double timeout) {
-        return "POST /job/x HTTP/1.1\r\nHost: a\r\nX-Request-ID: 77\r\nIdempotency-Key: k\r\n"
-                + "X-Timeout: " + String.format(Locale.ROOT, "%.1f", timeout)
-                + "\r\nX-Cost: 20000\r\nContent-Length: 2\r\n\r\nhi";
-    }
-
-    private static String ask(Socket socket, String message) throws IOException {
-        socket.getOutputStream().write(message.getBytes(StandardCharsets.UTF_8));
-        return read(socket.getInputStream());
-    }
-
-    private static int status(String answer) {
-        return Integer.parseInt(answer.split(" ")[1]);
-    }
-
-    private long metric(String name) throws IOException {
-        String text = ask(connect(), "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
-        String from = text.substring(text.indexOf("\nwheelroute_" + name + " ") + name.length() + 13);
-        return Long.parseLong(from.substring(0, from.indexOf('\n')));
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void end() throws Exception {
-        for (AutoCloseable one : new ArrayList<>(open)) {
-            one.close();
-        }
-        if (service != null) {
-            service.drain();
-        }
-        open.clear();
-        for (Stub stub : List.of(workers, discovery)) {
-            stub.heard.clear();
-            stub.closed.clear();
-            stub.answers.clear();
-            stub.messages.set(0);
-            stub.connections.set(0);
-        }
-        service = null;
-        longest = 2;
-    }
 
+/** The whole dispatcher on sockets, event by event. */
+public class ServiceTest extends ServiceHarness {
     @DataProvider
     public Object[][] lives() {
         String otherId = HEAD + line("done").replace("ID", "78") + "0\r\n\r\n";
@@ -623,7 +410,7 @@
     /** A start that cannot serve ends at once, and names the key at fault. */
     @Test(dataProvider = "badStarts", timeOut = PATIENCE)
     public void namesWhatKeepsItFromStarting(String known, String key) throws Exception {
-        Config config = new Config("n0", discovery.listen(), discovery.listen(), 64, Double.NaN,
+        Config config = new Config("n0", discovery.listen(), discovery.listen(), null, 64, Double.NaN,
                 known.getBytes(StandardCharsets.UTF_8), new World.Given().settings(), 0.5, 10, 2);
         String message = expectThrows(ConfigException.class, () -> new Service(config).start()).getMessage();
         assertTrue(message.contains("'" + key + "'"), message);
