--- a/daemon/src/main/java/wheelroute/net/admin/Call.java
+++ b/daemon/src/main/java/wheelroute/net/admin/Call.java
@@ -63,7 +63,8 @@
         patience.cancel();
         patience = loop.later(PATIENCE, this::close);
         // Half closed, so that what a caller sends on cannot take the answer back with a reset.
-        Callback written = Callback.from(() -> getEndPoint().shutdownOutput(), cause -> loop.post(this::close));
+        Callback written = Callback.from(() -> getEndPoint().shutdownOutput(),
+                cause -> loop.post(this::close));
         getEndPoint().write(written, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
     }
 
