A process that takes another's place is told its list, learning and ids, and shares its limits

Need: two processes on one address knew nothing of each other (docs/design/handover.md): whole shares of cold budgets and descriptors each, and a drain that served kept connections for 3.5 s.

Change: net.handover finds a predecessor on a Unix socket in TMPDIR; Places counts who is there; the policy's shares, clients' and workers' bounds are divided by that. The old one empties and closes its listening socket at once, closes what is idle with nothing unread, and ends when its last connection has. deploy/run.sh reckons with half the memory where there is a door.

An ended process put its socket back over its successor's, so that every second replacement found none (Handover.left after Handover.end). A listening socket closed before the selector had let go reset what came (Loop.unlistenEmptied).

--- a/daemon/src/main/java/wheelroute/config/Config.java
+++ b/daemon/src/main/java/wheelroute/config/Config.java
@@ -1,6 +1,7 @@
 package wheelroute.config;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -10,6 +11,7 @@
  * What one dispatcher is told. Times in seconds.
  *
  * @param admin where operators call; null for nowhere
+ * @param meeting the directory in which processes of one dispatcher find each other; null where none is to
  * @param sockets how many descriptors the process may hold
  * @param memory how many bytes the process may take; NaN when not told
  * @param known the remembered list of workers, as the JSON that discovery would send; null for none
@@ -18,7 +20,7 @@
  * @param longestOuterLimit no submission waits longer
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
-        InetSocketAddress admin, int sockets, double memory, byte[] known, Settings settings,
+        InetSocketAddress admin, Path meeting, int sockets, double memory, byte[] known, Settings settings,
         double connectLimit, double idleLimit, double longestOuterLimit) {
     /** The keys by which another configuration differs in what is used only at the start. */
     public List<String> waitingForRestart(Config other) {
--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -135,9 +135,10 @@
         String connect = "permissions.connect_timeout_us";
         String idle = "permissions.conn_idle_us";
         String discovery = again && file.containsKey("discovery") ? "" : "LB_DISCOVERY";
+        InetSocketAddress admin = optional("LB_ADMIN", "admin");
         return new Config(value("LB_NAME", "name"), address("LB_LISTEN", "listen"),
-                address(discovery, "discovery"), optional("LB_ADMIN", "admin"), (int) sockets, memory, known,
-                settings,
+                address(discovery, "discovery"), admin, admin == null ? null : meeting(), (int) sockets,
+                memory, known, settings,
                 positive(connect, reader.seconds(connect, USUAL_CONNECT)),
                 positive(idle, reader.seconds(idle, USUAL_IDLE)), longest);
     }
@@ -167,6 +168,16 @@
         return value;
     }
 
+    /** Where a process that takes this one's place has a door of its own, it shares this directory too. */
+    private Path meeting() throws ConfigException {
+        String directory = environment.getOrDefault("TMPDIR", "");
+        try {
+            return directory.isEmpty() ? null : Path.of(directory);
+        } catch (InvalidPathException e) {
+            throw new ConfigException("TMPDIR", "names no directory: " + e.getMessage());
+        }
+    }
+
     /** Null where neither names one. */
     private InetSocketAddress optional(String variable, String key) throws ConfigException {
         return environment.getOrDefault(variable, file.getOrDefault(key, "")).isEmpty() ? null
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -121,6 +121,7 @@
     private int launchesOut;
     /** Workers with launches of ours out. */
     private final List<Worker> holding = new ArrayList<>();
+    private int processes = 1;
     private boolean awake;
     private double watchAgainAt = Double.NaN;
     private double askPause = FIRST_ASK;
@@ -206,6 +207,50 @@
         workers.values().removeIf(w -> !w.ready && w.out.isEmpty());
     }
 
+    /** So many processes are this one dispatcher: each has its part of the traffic, and of what is shared. */
+    public void sharedBy(int count) {
+        processes = Math.max(1, count);
+    }
+
+    /** For a process that is to go on where this one is. */
+    public Learned learned() {
+        Learned learned = new Learned(new HashMap<>(), new HashMap<>(), new HashMap<>());
+        workers.values().forEach(w -> learned.workers().put(w.id, new Learned.OfWorker(w.runs.told(now),
+                w.waits.told(now), w.failures.told(now))));
+        models.forEach((id, model) -> learned.models().put(id, new Learned.OfModel(model.slots,
+                model.runs.told(now), model.waits.told(now))));
+        rows.forEach((id, row) -> learned.hints().put(id, row.told.told(now)));
+        return learned;
+    }
+
+    /** What another process had learned: before anything is taken, and after the list. */
+    public void learn(Learned learned) {
+        learned.workers().forEach((id, told) -> {
+            Worker w = workers.get(id);
+            if (w != null) {
+                w.runs.take(now, told.runs());
+                w.waits.take(now, told.waits());
+                w.failures.take(now, told.failures());
+                w.probation = w.failures.countSince(now - FAILURE_MEMORY) > FAILURES_BORNE;
+            }
+        });
+        learned.models().forEach((id, told) -> {
+            ModelState model = models.get(id);
+            if (model != null) {
+                model.slots = told.slots();
+                model.learn(now, told.runs());
+                if (settings.tellsStart()) {
+                    model.waits.take(now, told.waits());
+                }
+            }
+        });
+        learned.hints().forEach((id, told) -> {
+            if (rows.containsKey(id) && told.length > 0) {
+                rows.get(id).learn(now, told);
+            }
+        });
+    }
+
     /** Listed workers avoided now: they drain, rest after a launch that came back, or are on probation. */
     public int avoided() {
         return (int) workers.values().stream().filter(w -> w.named
@@ -467,7 +512,7 @@
         }
         double perSlot = launchesOut / Math.max(1, slotsInAll);
         // All dispatchers' traffic, taken to be like ours: later arrivals at a queue are not ours alone.
-        int senders = Math.max(1, settings.dispatchers());
+        int senders = processes * Math.max(1, settings.dispatchers());
         double load = Math.min(MOST_LOAD, senders * arrivals.rateOfFirst(now) / capacity);
         double kappa = senders * arrivals.rate(now) * meanValue / (2 * (1 - load)) / capacity;
         double least = Double.POSITIVE_INFINITY;
@@ -662,8 +707,7 @@
                         speedAt = Double.NEGATIVE_INFINITY;
                         if (warmth(from) >= 1) {
                             // Guards against a release that makes its whole model look slow.
-                            model.runs.add(now, launch.handle.work, run);
-                            model.speed = model.runs.sumOfFirst() / model.runs.sumOfSecond();
+                            model.learn(now, new double[] {0, launch.handle.work, run});
                             launch.handle.row.learn(launch.handle.submission.hint(), run * speed());
                         }
                     }
@@ -757,6 +801,7 @@
                 }
                 sharers = TURNS_A_WINDOW;
             }
+            sharers *= processes;
             double sent = work;
             for (double[] entry : sentCold) {
                 sent += entry[0] > now - settings.tipWindow() ? entry[1] : 0;
@@ -958,7 +1003,11 @@
             if (!(hint > 0)) {
                 return;
             }
-            told.add(0, Math.log(hint), Math.log(work));
+            learn(0, new double[] {0, Math.log(hint), Math.log(work)});
+        }
+
+        void learn(double now, double[] samples) {
+            told.take(now, samples);
             double n = told.size();
             middle = told.sumOfFirst() / n;
             double meanWork = told.sumOfSecond() / n;
@@ -1026,6 +1075,11 @@
             this.prior = prior;
         }
 
+        void learn(double now, double[] samples) {
+            runs.take(now, samples);
+            speed = runs.size() > 0 ? runs.sumOfFirst() / runs.sumOfSecond() : speed;
+        }
+
         /** Guards against bouncing on old waits: without launches no new wait is seen, so old ones fade. */
         void figure(double now, double stretch) {
             unseenNow = waits.fadedSecond(now, stretch * MEMORY, prior, stillWaiting);
--- a/daemon/src/main/java/wheelroute/decision/Samples.java
+++ b/daemon/src/main/java/wheelroute/decision/Samples.java
@@ -18,6 +18,24 @@
         size = Math.min(size + 1, kept.length / 3);
     }
 
+    /** As triples, each with its age in place of its time, the oldest first: for another clock. */
+    double[] told(double now) {
+        double[] told = new double[3 * size];
+        for (int i = 0; i < size; i++) {
+            int from = 3 * ((size < kept.length / 3 ? i : next + i) % (kept.length / 3));
+            told[3 * i] = now - kept[from];
+            told[3 * i + 1] = kept[from + 1];
+            told[3 * i + 2] = kept[from + 2];
+        }
+        return told;
+    }
+
+    void take(double now, double[] told) {
+        for (int i = 0; i + 2 < told.length; i += 3) {
+            add(now - told[i], told[i + 1], told[i + 2]);
+        }
+    }
+
     void clear() {
         next = 0;
         size = 0;
--- a/daemon/src/main/java/wheelroute/net/Exchanges.java
+++ b/daemon/src/main/java/wheelroute/net/Exchanges.java
@@ -1,5 +1,6 @@
 package wheelroute.net;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import wheelroute.decision.Dispatcher;
 import wheelroute.decision.Effect;
 import wheelroute.decision.Ids;
+import wheelroute.decision.Learned;
 import wheelroute.decision.Listing;
 import wheelroute.decision.Policy;
 import wheelroute.decision.Settings;
@@ -22,6 +24,8 @@
 import wheelroute.net.clients.ClientMessage;
 import wheelroute.net.clients.Clients;
 import wheelroute.net.clients.Submitters;
+import wheelroute.net.handover.Handover;
+import wheelroute.net.handover.LearnedText;
 import wheelroute.net.list.ListWatch;
 import wheelroute.net.list.WorkerList;
 import wheelroute.net.workers.Workers;
@@ -54,7 +58,7 @@
     private final Policy policy;
     private final ArrayDeque<Runnable> turns = new ArrayDeque<>();
     private final Map<Ids.Submission, Exchange> open = new HashMap<>();
-    private final Map<String, Ids.Worker> names = new HashMap<>();
+    private final Map<String, Member> members = new HashMap<>();
     /** The ids under which clients know the open ones. */
     private final Set<String> openIds = new HashSet<>();
     private final Map<String, Settings.Offering> offerings = new HashMap<>();
@@ -69,6 +73,13 @@
     private long lastSubmission;
     private long lastWorker;
     private Clients clients;
+    /** Null where no process can take another's place. */
+    private Handover handover;
+    private long version = ListWatch.NOTHING;
+
+    /** A worker on the list: its entry there, and the name that the decisions have for it. */
+    private record Member(Ids.Worker worker, WorkerList.Entry entry) {
+    }
 
     Exchanges(Loop loop, Counters counters, Workers workers, Settings settings, double longestOuterLimit) {
         this.loop = loop;
@@ -121,6 +132,9 @@
     void remove(Ids.Submission id, String clientsId) {
         if (open.remove(id) != null) {
             openIds.remove(clientsId);
+            if (handover != null) {
+                handover.over(clientsId);
+            }
         }
     }
 
@@ -135,7 +149,7 @@
         if (offering.effect() == Effect.DEDUPLICATED && message.mark() == null) {
             throw new BadMessage(HttpStatus.BAD_REQUEST_400, "this offering needs an Idempotency-Key");
         }
-        if (openIds.contains(message.id())) {
+        if (openIds.contains(message.id()) || handover != null && handover.isOpenElsewhere(message.id())) {
             // Workers know jobs by it: a second would be told the first one's end, or spoil its connection.
             throw new BadMessage(HttpStatus.CONFLICT_409, "a submission with this id is open");
         }
@@ -154,6 +168,9 @@
         Exchange exchange = new Exchange(this, loop, submission, message, answers);
         open.put(submission.id(), exchange);
         openIds.add(message.id());
+        if (handover != null) {
+            handover.opened(message.id());
+        }
         counters.count(Counters.Kind.TAKEN);
         pending++;
         turn(() -> exchange.begin(policy));
@@ -172,7 +189,7 @@
 
     Gauges gauges() {
         policy.at(loop.now());
-        return new Gauges(open.size(), pending, clients.open(), workers.open(), names.size(),
+        return new Gauges(open.size(), pending, clients.open(), workers.open(), members.size(),
                 policy.avoided());
     }
 
@@ -205,9 +222,15 @@
 
     void listed(WorkerList list, boolean remembered) {
         List<Listing> entries = new ArrayList<>();
-        Map<String, Ids.Worker> lost = list.whole() ? new HashMap<>(names) : new HashMap<>();
+        Map<String, Ids.Worker> lost = new HashMap<>();
+        if (list.whole()) {
+            members.forEach((name, member) -> lost.put(name, member.worker));
+        }
+        version = list.version();
         for (WorkerList.Entry entry : list.entries()) {
-            Ids.Worker worker = names.computeIfAbsent(entry.id(), name -> new Ids.Worker(++lastWorker));
+            Member known = members.get(entry.id());
+            Ids.Worker worker = known != null ? known.worker : new Ids.Worker(++lastWorker);
+            members.put(entry.id(), new Member(worker, entry));
             if (entry.readiness() == Listing.Readiness.GONE) {
                 lost.put(entry.id(), worker);
             } else {
@@ -222,7 +245,7 @@
         lost.forEach((name, worker) -> {
             workers.gone(worker);
             // Releases bring new names for ever; one that comes back is a new worker to the decisions.
-            names.remove(name);
+            members.remove(name);
         });
     }
 
@@ -231,6 +254,52 @@
         turn(policy::listFailed);
     }
 
+    // ---- from another process of this dispatcher
+
+    void handover(Handover newHandover) {
+        handover = newHandover;
+    }
+
+    /** Another process takes clients in this one's place. */
+    boolean isSucceeded() {
+        return handover != null && handover.hasSuccessor();
+    }
+
+    /** The list as last told, in discovery's form; null for none. */
+    String list() {
+        return version == ListWatch.NOTHING ? null : new WorkerList(version, true,
+                members.values().stream().map(Member::entry).toList()).encode();
+    }
+
+    /** Discovery's own word may have come in the meantime, and is the newer one. */
+    void listTold(byte[] list) throws IOException {
+        WorkerList told = WorkerList.decode(list);
+        if (told.version() > version) {
+            listed(told, true);
+        }
+    }
+
+    String learned() {
+        policy.at(loop.now());
+        Map<Ids.Worker, String> names = new HashMap<>();
+        members.forEach((name, member) -> names.put(member.worker, name));
+        return LearnedText.encode(policy.learned(), names::get);
+    }
+
+    void learnedTold(byte[] learned) throws IOException {
+        Learned told = LearnedText.decode(learned, name -> members.containsKey(name)
+                ? members.get(name).worker : null);
+        turn(() -> policy.learn(told));
+    }
+
+    Iterable<String> openIds() {
+        return new ArrayList<>(openIds);
+    }
+
+    void sharedBy(int processes) {
+        turn(() -> policy.sharedBy(processes));
+    }
+
     // ---- from the decisions
 
     @Override
@@ -276,7 +345,7 @@
      * who loses a connection to it finds nobody else, and cannot come back before it is up again.
      */
     private boolean servesOn() {
-        return draining && settings.dispatchers() <= 1;
+        return draining && settings.dispatchers() <= 1 && !isSucceeded();
     }
 
     @Override
@@ -285,11 +354,11 @@
     }
 
     /**
-     * Whether it had better come back when this drain of a dispatcher alone is over: the hint is rough and
-     * there may be a queue, but this one is unlikely to end in time.
+     * Whether it had better come back when this drain of a dispatcher alone is over, or ask the process that
+     * has taken this one's place: the hint is rough and there may be a queue, but it is unlikely to end here.
      */
     private boolean mustComeBack(ClientMessage message, Settings.Offering offering) {
-        if (!servesOn() || ended) {
+        if (!servesOn() && !(draining && isSucceeded()) || ended) {
             return false;
         }
         double stretch = offering.effect() == Effect.IDEMPOTENT ? DRAIN_STRETCH : DRAIN_STRETCH_ONCE;
--- a/daemon/src/main/java/wheelroute/net/Loop.java
+++ b/daemon/src/main/java/wheelroute/net/Loop.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardProtocolFamily;
 import java.net.StandardSocketOptions;
+import java.net.UnixDomainSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
@@ -130,12 +132,15 @@
     }
 
     /** Never fails at once: whoever connects may be in the middle of a decision. */
-    public void connect(InetSocketAddress address, Peer peer) {
+    public void connect(SocketAddress address, Peer peer) {
         SocketChannel channel = null;
         try {
-            channel = SocketChannel.open();
+            boolean local = address instanceof UnixDomainSocketAddress;
+            channel = local ? SocketChannel.open(StandardProtocolFamily.UNIX) : SocketChannel.open();
             channel.configureBlocking(false);
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            if (!local) {
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            }
             if (channel.connect(address)) {
                 manager.accept(channel, peer);
             } else {
@@ -174,11 +179,26 @@
         if (shared) {
             server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         }
-        server.bind(address, BACKLOG);
+        accept(server.bind(address, BACKLOG), peer);
+        return server;
+    }
+
+    /** The same on a Unix socket, whose file must not be there yet. */
+    public ServerSocketChannel listen(UnixDomainSocketAddress address, Peer peer) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
+        try {
+            accept(server.bind(address), peer);
+        } catch (IOException | RuntimeException e) {
+            server.close();
+            throw e;
+        }
+        return server;
+    }
+
+    private void accept(ServerSocketChannel server, Peer peer) throws IOException {
         server.configureBlocking(false);
         listeners.put(server.getLocalAddress(), peer);
         manager.acceptor(server);
-        return server;
     }
 
     /** Takes no more connections there; those accepted stay. */
@@ -195,7 +215,14 @@
      */
     public void unlistenEmptied(ServerSocketChannel server) {
         server.keyFor(selector).cancel();
-        later(ROUND, () -> {
+        later(ROUND, () -> emptyAndClose(server));
+    }
+
+    private void emptyAndClose(ServerSocketChannel server) {
+        if (server.isRegistered()) {
+            // The round has not been yet: what closes now would be closed only after it.
+            later(ROUND, () -> emptyAndClose(server));
+        } else {
             try {
                 for (SocketChannel next = server.accept(); next != null; next = server.accept()) {
                     manager.accepted(next);
@@ -204,13 +231,14 @@
             } catch (IOException e) {
                 LOG.warn("a listening socket did not close", e);
             }
-        });
+        }
     }
 
-    private Peer peerAt(InetSocketAddress local) {
-        Peer peer = listeners.get(local);
+    private Peer peerAt(SocketAddress accepted) {
+        Peer peer = listeners.get(accepted);
         // Listening on all addresses, it accepts on one of them.
-        return peer != null ? peer : listeners.entrySet().stream()
+        return peer != null || !(accepted instanceof InetSocketAddress local) ? peer
+                : listeners.entrySet().stream()
                 .filter(entry -> entry.getKey() instanceof InetSocketAddress address
                         && address.getAddress().isAnyLocalAddress() && address.getPort() == local.getPort())
                 .map(Map.Entry::getValue).findFirst().orElse(null);
@@ -279,8 +307,11 @@
         @Override
         protected void accepted(SelectableChannel channel) throws IOException {
             channel.configureBlocking(false);
-            ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
-            Peer peer = peerAt((InetSocketAddress) ((SocketChannel) channel).getLocalAddress());
+            SocketAddress local = ((SocketChannel) channel).getLocalAddress();
+            if (local instanceof InetSocketAddress) {
+                ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
+            }
+            Peer peer = peerAt(local);
             if (peer == null) {
                 // Accepted in the moment in which its listening ended.
                 close(channel);
--- a/daemon/src/main/java/wheelroute/net/Service.java
+++ b/daemon/src/main/java/wheelroute/net/Service.java
@@ -14,6 +14,7 @@
 import wheelroute.net.admin.Door;
 import wheelroute.net.admin.Operators;
 import wheelroute.net.clients.Clients;
+import wheelroute.net.handover.Handover;
 import wheelroute.net.list.ListWatch;
 import wheelroute.net.list.WorkerList;
 import wheelroute.net.workers.Workers;
@@ -47,6 +48,9 @@
     private Exchanges exchanges;
     private Clients clients;
     private Door door;
+    /** Null where no process can take another's place. */
+    private Handover handover;
+    private boolean listensToClients;
 
     public Service(Config config) {
         this.config = config;
@@ -59,9 +63,24 @@
     }
 
     private void assembleFirst() {
-        try {
+        starting(() -> {
             assemble();
-            listening.complete(null);
+            if (handover == null) {
+                listen();
+            } else {
+                handover.begin();
+            }
+        });
+    }
+
+    /** A step of the start: the first that fails ends it. */
+    private interface Step {
+        void run() throws ConfigException;
+    }
+
+    private void starting(Step step) {
+        try {
+            step.run();
         } catch (ConfigException | RuntimeException e) {
             listening.completeExceptionally(e);
         }
@@ -90,17 +109,31 @@
         exchanges.watch(new ListWatch(loop, discovery, counters, exchanges, version));
         clients = new Clients(loop, exchanges, counters, part(CLIENTS_PART));
         exchanges.clients(clients);
+        if (config.admin() != null) {
+            openDoor();
+        }
+        if (config.meeting() != null) {
+            String name = config.name() + " " + config.listen();
+            handover = new Handover(loop, config.meeting(), name, new Here());
+            exchanges.handover(handover);
+        }
+    }
+
+    /** Last of all: from here on clients come. */
+    private void listen() throws ConfigException {
         try {
             // A process that is to take this one's place begins beside it, where there is a door to ask it.
             clients.listen(config.listen(), config.admin() != null);
         } catch (IOException e) {
             throw new ConfigException("listen", "cannot be used: " + e.getMessage());
         }
-        if (config.admin() != null) {
-            openDoor();
-        }
         // With the port that it got: 0 leaves the choice to the system.
         LOG.info("{} listens on {}:{}", config.name(), config.listen().getHostString(), clients.port());
+        listensToClients = true;
+        if (handover != null) {
+            handover.serving();
+        }
+        listening.complete(null);
     }
 
     private void openDoor() throws ConfigException {
@@ -122,7 +155,7 @@
     }
 
     private int part(double part) {
-        int forOperators = config.admin() == null ? 0 : Door.DESCRIPTORS;
+        int forOperators = config.admin() == null ? 0 : Door.DESCRIPTORS + Handover.DESCRIPTORS;
         return (int) (part * (config.sockets() - OWN_SOCKETS - forOperators));
     }
 
@@ -137,7 +170,7 @@
 
     @Override
     public String whyNotReady() {
-        return exchanges.isDraining() ? "draining" : null;
+        return exchanges.isDraining() ? "draining" : listensToClients ? null : "starting";
     }
 
     @Override
@@ -185,20 +218,72 @@
     private void beginDrain() {
         double end = loop.now() + Math.min(LONGEST_DRAIN, config.longestOuterLimit()) + SPARE;
         exchanges.drain(end);
-        loop.later(STILL_LISTENING, () -> {
+        // Where another one listens already, new connections are better off with it at once.
+        loop.later(exchanges.isSucceeded() ? 0 : STILL_LISTENING, () -> {
             clients.stopListening();
             look(end);
         });
     }
 
     private void look(double end) {
-        if (exchanges.unanswered() == 0 && (exchanges.closesConnections() || clients.open() == 0)) {
-            loop.later(LAST_BYTES, drained::countDown);
+        boolean mustWaitForClients = !exchanges.closesConnections() || exchanges.isSucceeded();
+        if (exchanges.unanswered() == 0 && (!mustWaitForClients || clients.open() == 0)) {
+            loop.later(LAST_BYTES, this::end);
         } else if (loop.now() >= end) {
             exchanges.giveUpAll();
-            loop.later(LAST_BYTES, drained::countDown);
+            loop.later(LAST_BYTES, this::end);
         } else {
             loop.later(LOOK, () -> look(end));
         }
     }
+
+    private void end() {
+        if (handover != null) {
+            handover.end();
+        }
+        drained.countDown();
+    }
+
+    /** This process, to the others of the same dispatcher. */
+    private final class Here implements Handover.Here {
+        @Override
+        public String list() {
+            return exchanges.list();
+        }
+
+        @Override
+        public String learned() {
+            return exchanges.learned();
+        }
+
+        @Override
+        public Iterable<String> openIds() {
+            return exchanges.openIds();
+        }
+
+        @Override
+        public void listTold(byte[] list) throws IOException {
+            exchanges.listTold(list);
+        }
+
+        @Override
+        public void learnedTold(byte[] learned) throws IOException {
+            exchanges.learnedTold(learned);
+        }
+
+        @Override
+        public void told() {
+            starting(Service.this::listen);
+        }
+
+        @Override
+        public void placesChanged(int processes, boolean hasSuccessor) {
+            exchanges.sharedBy(processes);
+            workers.sharedBy(processes);
+            clients.sharedBy(processes);
+            if (hasSuccessor && exchanges.isDraining()) {
+                clients.stopListening();
+            }
+        }
+    }
 }
--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -213,6 +213,26 @@
         return hasSpoken && !waiting && !begun && !lingering;
     }
 
+    /** Closes it if it is between two messages, and nothing of the next lies unread. */
+    void closeIfIdle() {
+        if (isIdle() && !hasUnread()) {
+            close();
+        }
+    }
+
+    /** Reads what there is, if there is something. */
+    private boolean hasUnread() {
+        try {
+            ByteBuffer peeked = loop.peekBuffer();
+            if (getEndPoint().fill(peeked) > 0) {
+                read(peeked);
+            }
+            return begun || waiting;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Idle, and what it sent so far was no submission. */
     boolean isIdleVisitor() {
         return isIdle() && !hasSubmitted;
@@ -228,15 +248,7 @@
         if (hasSpoken || begun || loop.now() - openedAt < SILENT) {
             return false;
         }
-        try {
-            ByteBuffer peeked = loop.peekBuffer();
-            if (getEndPoint().fill(peeked) > 0) {
-                read(peeked);
-            }
-            return !begun;
-        } catch (IOException e) {
-            return true;
-        }
+        return !hasUnread();
     }
 
     private void ended() {
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -29,21 +29,30 @@
     private final Loop loop;
     private final Submitters submitters;
     private final Counters counters;
-    private final int most;
+    private final int mostAlone;
+    private int most;
     private final Room room = new Room((long) (HELD_PART * Runtime.getRuntime().maxMemory()));
     private final Set<ClientConnection> open = new LinkedHashSet<>();
     private ServerSocketChannel server;
+    private boolean isListening;
 
     public Clients(Loop loop, Submitters submitters, Counters counters, int most) {
         this.loop = loop;
         this.submitters = submitters;
         this.counters = counters;
+        mostAlone = most;
         this.most = most;
     }
 
     /** Shared: a second process may listen there too, and each is dealt a part of the connections. */
     public void listen(InetSocketAddress address, boolean shared) throws IOException {
         server = loop.listen(address, this, shared);
+        isListening = true;
+    }
+
+    /** So many processes share the bound; who is over it by that makes room as others come. */
+    public void sharedBy(int processes) {
+        most = mostAlone / processes;
     }
 
     /** The port is the system's choice when the configuration names 0. */
@@ -133,14 +142,15 @@
 
     /** No new connections, and none kept between two submissions but by a dispatcher that serves on. */
     public void stopListening() {
-        loop.unlistenEmptied(server);
+        if (isListening) {
+            isListening = false;
+            loop.unlistenEmptied(server);
+        }
         if (!closesConnections()) {
             return;
         }
         for (ClientConnection connection : new ArrayList<>(open)) {
-            if (connection.isIdle()) {
-                connection.close();
-            }
+            connection.closeIfIdle();
         }
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/handover/Neighbour.java
@@ -0,0 +1,121 @@
+package wheelroute.net.handover;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import wheelroute.net.Link;
+import wheelroute.net.Loop;
+
+/** The connection to one other process of this dispatcher: lines both ways. */
+final class Neighbour extends Link {
+    /** As long as the longest list. */
+    private static final int MOST_LINE = 1 << 20;
+    /** Unsent beyond this, the other is stuck: this process must not fill its memory for it. */
+    private static final int MOST_UNSENT = 2 * MOST_LINE;
+
+    /** Who hears it. */
+    interface Hearer {
+        void opened(Neighbour neighbour);
+
+        void said(Neighbour neighbour, String word, String about) throws IOException;
+
+        void left(Neighbour neighbour);
+    }
+
+    private final Hearer hearer;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
+    private long unsentBytes;
+    private boolean sending;
+    private boolean left;
+
+    Neighbour(EndPoint endPoint, Loop loop, Hearer hearer) {
+        super(endPoint, loop);
+        this.hearer = hearer;
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        hearer.opened(this);
+    }
+
+    void say(String word, String about) {
+        String text = about.isEmpty() ? word + "\n" : word + " " + about + "\n";
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        unsent.add(ByteBuffer.wrap(bytes));
+        unsentBytes += bytes.length;
+        if (unsentBytes > MOST_UNSENT) {
+            close();
+        } else {
+            sendNext();
+        }
+    }
+
+    private void sendNext() {
+        if (sending || unsent.isEmpty() || left) {
+            return;
+        }
+        sending = true;
+        ByteBuffer next = unsent.poll();
+        int length = next.remaining();
+        Callback written = Callback.from(() -> loop.post(() -> {
+            sending = false;
+            unsentBytes -= length;
+            sendNext();
+        }), cause -> loop.post(this::close));
+        getEndPoint().write(written, next);
+    }
+
+    @Override
+    protected void received(ByteBuffer in) throws IOException {
+        while (in.hasRemaining() && !left) {
+            byte next = in.get();
+            if (next == '\n') {
+                String text = line.toString(StandardCharsets.UTF_8);
+                line.reset();
+                int space = text.indexOf(' ');
+                hearer.said(this, space < 0 ? text : text.substring(0, space),
+                        space < 0 ? "" : text.substring(space + 1));
+            } else if (line.size() == MOST_LINE) {
+                throw new IOException("a line is over " + MOST_LINE);
+            } else {
+                line.write(next);
+            }
+        }
+    }
+
+    @Override
+    protected void atEnd() {
+        close();
+    }
+
+    @Override
+    protected void broke(Throwable cause) {
+        close();
+    }
+
+    @Override
+    public void close() {
+        super.close();
+        leave();
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        leave();
+    }
+
+    private void leave() {
+        if (!left) {
+            left = true;
+            unsent.clear();
+            hearer.left(this);
+        }
+    }
+}
--- a/daemon/src/main/java/wheelroute/net/list/WorkerList.java
+++ b/daemon/src/main/java/wheelroute/net/list/WorkerList.java
@@ -1,9 +1,11 @@
 package wheelroute.net.list;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.io.StringWriter;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -47,6 +49,37 @@
         return new WorkerList(version, whole, entries);
     }
 
+    /** In the form in which discovery sends it. */
+    public String encode() {
+        StringWriter out = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(out)) {
+            json.writeStartObject();
+            json.writeNumberField("version", version);
+            json.writeBooleanField("full", whole);
+            json.writeArrayFieldStart("servers");
+            for (Entry entry : entries) {
+                json.writeStartObject();
+                json.writeStringField("id", entry.id());
+                json.writeStringField("addr",
+                        entry.address().getHostString() + ":" + entry.address().getPort());
+                json.writeStringField("zone", entry.zone());
+                json.writeStringField("kind", entry.kind());
+                json.writeNumberField("cell", entry.cell());
+                json.writeStringField("state",
+                        entry.readiness() == Listing.Readiness.ACTIVE ? "ready" : "draining");
+                json.writeNumberField("weight", entry.weight());
+                json.writeNumberField("started_ms", Double.isNaN(entry.startedAt()) ? 0
+                        : Math.round(entry.startedAt() * MILLIS));
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+        return out.toString();
+    }
+
     private static Entry entry(JsonParser parser) throws IOException {
         expect(parser.currentToken() == JsonToken.START_OBJECT, "a worker is not an object");
         String id = null;
--- a/daemon/src/main/java/wheelroute/net/workers/Workers.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Workers.java
@@ -16,7 +16,8 @@
 
     private final Loop loop;
     private final Counters counters;
-    private final int most;
+    private final int mostAlone;
+    private int most;
     private final long idleMillis;
     private final Map<Ids.Worker, Station> stations = new HashMap<>();
     private int open;
@@ -24,10 +25,16 @@
     public Workers(Loop loop, Counters counters, int most, double idleLimit) {
         this.loop = loop;
         this.counters = counters;
+        mostAlone = most;
         this.most = most;
         idleMillis = Math.max(1, (long) (PART_OF_IDLE * idleLimit * MILLIS));
     }
 
+    /** So many processes share the bound; idle connections over it make room as others are opened. */
+    public void sharedBy(int processes) {
+        most = mostAlone / processes;
+    }
+
     /** A worker as listed, NaN for one up long since; connections from before a restart are left. */
     public void listed(Ids.Worker worker, InetSocketAddress address, double startedAt) {
         Station station = stations.get(worker);
--- a/daemon/src/test/java/wheelroute/ChoiceTest.java
+++ b/daemon/src/test/java/wheelroute/ChoiceTest.java
@@ -395,4 +395,36 @@
         assertEquals(w.did.stream().filter(did -> did.startsWith("launch") && did.endsWith(" 1")).count(),
                 launches, w.did.toString());
     }
+
+    /** A process that takes another's place knows the workers as the other did, from its first choice on. */
+    @Test
+    public void goesOnWithWhatAnotherLearned() {
+        World old = World.of(Effect.IDEMPOTENT, Group.ALL).list(2);
+        for (int i = 0; i < 40; i++) {
+            old.did.clear();
+            Policy.Handle handle = old.take(0.2);
+            boolean slow = old.lastWorker() == 1;
+            handle.started(0);
+            old.pass(slow ? 1 : 0.2);
+            old.end(handle, 0, Outcome.ANSWERED);
+        }
+        World knows = World.of(Effect.IDEMPOTENT, Group.ALL).list(2).pass(5);
+        knows.policy.learn(old.policy.learned());
+        long slowByOne = 0;
+        for (int i = 0; i < 10; i++) {
+            slowByOne += knows.pass(2).serve(0.2, 0.2) == 1 ? 1 : 0;
+        }
+        assertEquals(slowByOne, 0);
+    }
+
+    /** Failures go along: a worker on probation at the old process is no fresh one to the new. */
+    @Test
+    public void goesOnWithAnothersDoubts() {
+        World old = World.of(Effect.IDEMPOTENT, Group.ALL).list(2);
+        old.launchesToBad(3, 0.2, worker -> true, Outcome.ERRED);
+        assertEquals(old.policy.avoided(), 2);
+        World next = World.of(Effect.IDEMPOTENT, Group.ALL).list(2);
+        next.policy.learn(old.policy.learned());
+        assertEquals(next.policy.avoided(), 2);
+    }
 }
--- a/daemon/src/test/java/wheelroute/StartScriptTest.java
+++ b/daemon/src/test/java/wheelroute/StartScriptTest.java
@@ -33,6 +33,9 @@
             {"{\"limits\":{\"cores\":1},\"other\":{\"memory_mb\":64}}", "-Xmx96m"},
             {"* $(echo) `echo` \\", "-Xmx96m"},
             {"", "-Xmx96m"},
+            // Two processes share what one has: half of it each, with a door in the file or the environment.
+            {"{\"admin\":\"127.0.0.1:1\",\"limits\":{\"memory_mb\":208}}", "-Xmx59m"},
+            {"{\"admin\" : \"127.0.0.1:1\", \"limits\":{\"memory_mb\":72}}", "-Xmx16m"},
         };
     }
 
@@ -45,6 +48,14 @@
         assertTrue(result.text.contains(" " + heap + " "), result.text);
     }
 
+    @Test
+    public void aDoorInTheEnvironmentHalvesTheMemory() throws Exception {
+        Path dir = Files.createTempDirectory("start");
+        Path file = Files.writeString(dir.resolve("config.json"), "{\"limits\":{\"memory_mb\":144}}");
+        Result result = start(dir, Map.of("LB_CONFIG", file.toString(), "LB_ADMIN", "127.0.0.1:1"));
+        assertTrue(result.text.contains(" -Xmx27m "), result.text);
+    }
+
     @Test
     public void leavesAFileThatCannotBeReadToTheProgram() throws Exception {
         Path dir = Files.createTempDirectory("start");
--- /dev/null
+++ b/daemon/src/test/java/wheelroute/net/ReplacementTest.java
@@ -0,0 +1,286 @@
+package wheelroute.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.Channels;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.config.Config;
+import wheelroute.decision.Effect;
+
+/** One process of a dispatcher takes another's place, on real sockets and in one directory. */
+public class ReplacementTest extends ServiceHarness {
+    private static final int MANY = 24;
+    /** The first of two digits. */
+    private static final int FIRST_ID = 36;
+
+    private int lastId;
+
+    @BeforeMethod
+    public void wantMeeting() throws IOException {
+        hasDoor = true;
+        meeting = Files.createTempDirectory("meet");
+    }
+
+    /** Starts one more process of the dispatcher that the harness serves, on the same clients' address. */
+    private Service beside(Path directory) throws Exception {
+        return begun(another(directory, port));
+    }
+
+    private Service begun(Service another) throws Exception {
+        another.start();
+        open.add(another::drain);
+        return another;
+    }
+
+    private Service another(Path directory, int clientsPort) {
+        InetSocketAddress shared = new InetSocketAddress(InetAddress.getLoopbackAddress(), clientsPort);
+        return new Service(new Config("n0", shared, config.discovery(), config.admin(), directory, 1024,
+                Double.NaN, config.known(), config.settings(), 0.5, 10, longest));
+    }
+
+    /** The harness's own listens where the system likes; one on a known address is put in its place. */
+    private void serveKnown(Effect effect, String... answers) throws Exception {
+        Path wanted = meeting;
+        meeting = null;
+        serve(effect, answers);
+        service.drain();
+        service = another(wanted, port);
+        service.start();
+        meeting = wanted;
+    }
+
+    private String call(Service whom, String text) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), whom.adminPort())) {
+            socket.setSoTimeout(PATIENCE);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private long figure(Service whom, String name) throws IOException {
+        String text = call(whom, "STATS\n");
+        String from = text.substring(text.indexOf("app." + name + ":") + name.length() + 5);
+        return Long.parseLong(from.substring(0, from.indexOf('|')));
+    }
+
+    /** Two characters, as the stand-ins want it, and never the same again unless the case names it. */
+    private String job(int id) {
+        return post(10).replace("77", Integer.toString(FIRST_ID + id, Character.MAX_RADIX));
+    }
+
+    private String job() {
+        return job(++lastId);
+    }
+
+    private CompletableFuture<Void> drain(Service whom) {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        start(() -> {
+            whom.drain();
+            ended.complete(null);
+        });
+        return ended;
+    }
+
+    /** Whoever was connected, idle or in the middle of a message, is served; nobody is turned back. */
+    @Test(timeOut = PATIENCE)
+    public void nobodyIsTurnedBack() throws Exception {
+        serveKnown(Effect.IDEMPOTENT, Collections.nCopies(5 * MANY, DONE).toArray(new String[0]));
+        List<Socket> silent = new ArrayList<>();
+        List<Socket> begun = new ArrayList<>();
+        List<Socket> kept = new ArrayList<>();
+        List<String> messages = new ArrayList<>();
+        for (int i = 0; i < MANY; i++) {
+            silent.add(connect());
+            begun.add(connect());
+            messages.add(job());
+            begun.get(i).getOutputStream().write(messages.get(i).substring(0, 20).getBytes(
+                    StandardCharsets.UTF_8));
+            kept.add(connect());
+            assertEquals(status(ask(kept.get(i), job())), 200);
+        }
+        Service next = beside(meeting);
+        assertEquals(call(next, "READY\n"), "ok ready\n");
+        List<Socket> queued = new ArrayList<>();
+        for (int i = 0; i < MANY; i++) {
+            queued.add(connect());
+        }
+        CompletableFuture<Void> ended = drain(service);
+        for (int i = 0; i < MANY; i++) {
+            begun.get(i).getOutputStream().write(messages.get(i).substring(20).getBytes(
+                    StandardCharsets.UTF_8));
+            String answer = read(begun.get(i).getInputStream());
+            assertEquals(status(answer), 200, i + answer);
+            assertEquals(status(ask(silent.get(i), job())), 200);
+            assertEquals(status(ask(queued.get(i), job())), 200);
+        }
+        for (Socket socket : kept) {
+            // Between two messages: closed with nothing unread, so the client may use another one.
+            assertEquals(socket.getInputStream().read(), -1);
+        }
+        for (Socket socket : queued) {
+            socket.close();
+        }
+        ended.get();
+        service = null;
+        assertEquals(status(ask(connect(), job())), 200);
+        assertEquals(call(next, "READY\n"), "ok ready\n");
+    }
+
+    /** What is in work at the old process is answered there, and its id is taken at both. */
+    @Test(timeOut = PATIENCE)
+    public void workGoesOnWhereItBegan() throws Exception {
+        serveKnown(Effect.UNREPEATABLE, TAKEN, DONE, DONE, DONE, DONE);
+        Socket waiting = connect();
+        waiting.getOutputStream().write(job(0).getBytes(StandardCharsets.UTF_8));
+        workers.next();
+        Service next = beside(meeting);
+        CompletableFuture<Void> ended = drain(service);
+        Socket other = connect();
+        while (figure(next, "completed.job") == 0) {
+            // The new process alone is reached by now, or will be in a moment; it knows the open id.
+            int same = status(ask(other, job(0)));
+            assertEquals(same, 409);
+            other = connect();
+            status(ask(other, job(1)));
+            other = connect();
+        }
+        assertEquals(status(read(waiting.getInputStream())), 502);
+        ended.get();
+        service = null;
+        assertEquals(status(ask(other, job(0))), 200);
+    }
+
+    /** Both are one dispatcher to the limits, and each is alone again once the other has gone. */
+    @Test(timeOut = PATIENCE)
+    public void aChainOfReplacements() throws Exception {
+        serveKnown(Effect.IDEMPOTENT, Collections.nCopies(MANY, DONE).toArray(new String[0]));
+        for (int i = 0; i < 4; i++) {
+            Service next = another(meeting, port);
+            next.start();
+            assertEquals(call(service, "READY\n"), "ok ready\n");
+            long before = System.nanoTime();
+            drain(service).get();
+            // With nothing left to answer it leaves at once: it knows that the next one serves.
+            assertTrue((System.nanoTime() - before) / 1e9 < 0.4);
+            service = next;
+            assertEquals(status(ask(connect(), job(i))), 200);
+        }
+        service.drain();
+        service = null;
+        try (var files = Files.list(meeting)) {
+            assertEquals(files.count(), 0, "files are left");
+        }
+    }
+
+    /** One that dies before it serves leaves the old one serving, and to be found; words bring no words. */
+    @Test(timeOut = PATIENCE)
+    public void aStartThatFailsChangesNothing() throws Exception {
+        serveKnown(Effect.IDEMPOTENT, DONE, DONE, DONE);
+        Path file = onlyFile();
+        try (SocketChannel dying = SocketChannel.open(UnixDomainSocketAddress.of(file))) {
+            dying.write(StandardCharsets.UTF_8.encode("wheelroute-handover\nbeyond 0\nbeyond 1\nodd\n"));
+            BufferedReader in = new BufferedReader(Channels.newReader(dying, StandardCharsets.UTF_8));
+            List<String> words = new ArrayList<>();
+            while (!words.contains("told")) {
+                words.add(in.readLine().split(" ")[0]);
+            }
+            assertEquals(words, List.of("wheelroute-handover", "list", "learned", "told"));
+            // Its own door's answer goes out after all that it had to say to these words.
+            assertEquals(call(service, "READY\n"), "ok ready\n");
+            dying.write(StandardCharsets.UTF_8.encode("serving\n"));
+            drain(service).get();
+            assertEquals(in.readLine(), null);
+            service = another(meeting, port);
+            service.start();
+        }
+        try (SocketChannel dying = SocketChannel.open(UnixDomainSocketAddress.of(onlyFile()))) {
+            dying.write(StandardCharsets.UTF_8.encode("wheelroute-handover\n"));
+        }
+        assertEquals(status(ask(connect(), job(1))), 200);
+        Service next = beside(meeting);
+        drain(service).get();
+        service = null;
+        assertEquals(status(ask(connect(), job(2))), 200);
+        assertEquals(call(next, "READY\n"), "ok ready\n");
+    }
+
+    private Path onlyFile() throws IOException {
+        try (var files = Files.list(meeting)) {
+            List<Path> all = files.toList();
+            assertEquals(all.size(), 1, all.toString());
+            return all.get(0);
+        }
+    }
+
+    @DataProvider
+    public Object[][] leftovers() {
+        return new Object[][] {{"nothing"}, {"a plain file"}, {"a dead socket"}, {"a stranger"}, {"a mute"},
+            {"no directory"}, {"a path too long"}};
+    }
+
+    /** Whatever lies in the directory, a start needs no predecessor, and a lie is seen through. */
+    @Test(dataProvider = "leftovers", timeOut = PATIENCE)
+    public void startsWhateverItFinds(String what) throws Exception {
+        serveKnown(Effect.IDEMPOTENT, DONE, DONE);
+        Path file = onlyFile();
+        service.drain();
+        assertFalse(Files.exists(file));
+        Path directory = meeting;
+        switch (what) {
+            case "a plain file" -> Files.writeString(file, "12345\n");
+            case "a dead socket" -> listen(file).close();
+            case "a stranger" -> {
+                ServerSocketChannel stranger = listen(file);
+                start(() -> stranger.accept().write(StandardCharsets.UTF_8.encode("220 hello\n")));
+            }
+            case "a mute" -> listen(file);
+            case "no directory" -> directory = meeting.resolve("none");
+            case "a path too long" -> directory = meeting.resolve("x".repeat(200));
+            default -> assertEquals(what, "nothing");
+        }
+        service = another(directory, port);
+        service.start();
+        assertEquals(call(service, "READY\n"), "ok ready\n");
+        assertEquals(status(ask(connect(), job(1))), 200);
+        // From here on it is to be found itself, where that can be.
+        Service next = beside(directory);
+        assertEquals(call(next, "READY\n"), "ok ready\n");
+    }
+
+    private ServerSocketChannel listen(Path file) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
+        open.add(server);
+        return server.bind(UnixDomainSocketAddress.of(file));
+    }
+
+    /** The file that others find is for this user only. */
+    @Test(timeOut = PATIENCE)
+    public void itsFileIsPrivate() throws Exception {
+        serveKnown(Effect.IDEMPOTENT);
+        String rights = PosixFilePermissions.toString(
+                Files.getPosixFilePermissions(onlyFile()));
+        assertEquals(rights, "rw-------");
+        assertTrue(onlyFile().getFileName().toString().matches("wheelroute-[0-9a-f]{8}\\.sock"));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/wheelroute/net/handover/LearnedTextTest.java
@@ -0,0 +1,60 @@
+package wheelroute.net.handover;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.decision.Ids;
+import wheelroute.decision.Learned;
+
+public class LearnedTextTest {
+    private static final double[] SAMPLES = {0.5, 2, 3, 0.25, 1, 1};
+
+    private static Learned learned() {
+        return new Learned(
+                Map.of(new Ids.Worker(1), new Learned.OfWorker(SAMPLES, new double[0], SAMPLES),
+                        new Ids.Worker(2), new Learned.OfWorker(SAMPLES, SAMPLES, SAMPLES)),
+                Map.of(new Ids.Model("m \"2\""), new Learned.OfModel(3, SAMPLES, SAMPLES)),
+                Map.of(new Ids.Offering("job"), SAMPLES));
+    }
+
+    private static Learned decode(String text) throws IOException {
+        return LearnedText.decode(text.getBytes(StandardCharsets.UTF_8),
+                name -> name.equals("one") ? new Ids.Worker(7) : null);
+    }
+
+    /** Under the list's names, as the other process has its own; who is on no list is left out. */
+    @Test
+    public void goesFromOneToTheOther() throws IOException {
+        String text = LearnedText.encode(learned(), worker -> worker.value() == 1 ? "one" : null);
+        Learned read = decode(text);
+        assertEquals(read.workers().keySet().toString(), "[Worker[value=7]]");
+        assertEquals(read.workers().get(new Ids.Worker(7)).runs(), SAMPLES);
+        assertEquals(read.workers().get(new Ids.Worker(7)).waits(), new double[0]);
+        assertEquals(read.models().get(new Ids.Model("m \"2\"")).slots(), 3);
+        assertEquals(read.models().get(new Ids.Model("m \"2\"")).waits(), SAMPLES);
+        assertEquals(read.hints().get(new Ids.Offering("job")), SAMPLES);
+        assertEquals(text.indexOf('\n'), -1);
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        String worker = "{\"workers\":{\"one\":{\"runs\":[R],\"waits\":[],\"failures\":[]}}}";
+        return new Object[][] {
+            {""}, {"[]"}, {"{\"workers\":["}, {"{\"workers\":{\"one\":[1]}}"}, {"{\"workers\":{\"one\":{}}}"},
+            {worker.replace("R", "1,2")}, {worker.replace("R", "1,0,3")}, {worker.replace("R", "1,2,\"x\"")},
+            {worker.replace("R", "1,2,1e999")}, {worker.replace("R", "1,1,1,".repeat(65) + "1,1,1")},
+            {"{\"models\":{\"m\":{\"slots\":-1,\"runs\":[],\"waits\":[]}}}"}, {"{\"hints\":{\"job\":[1,2]}}"},
+        };
+    }
+
+    /** Nothing of a text with a fault is used: half of it might say the opposite of the whole. */
+    @Test(dataProvider = "faults")
+    public void isWholeOrNothing(String text) {
+        expectThrows(IOException.class, () -> decode(text));
+    }
+}
