A launch that falls silent beside others at its worker is given up and sent again

Ruled out: slow senders cut off by us (a print at every end of patience stayed silent, the 44 'cut off by the node' are clients that leave while they write) and lateness of the loop. At fault: Policy.lookForSilence looked at the worker's last word alone.

Change: what was sent before a launch that began has begun too (Worker.overtook); from then, or from its last progress, a launch has 0.5 s and twice the time until its next word. Where copies are forbidden it is called off first; a deduplicated one only if its group can take it. Only where progress is told, and within the budget that copies for silence have.

--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -92,7 +92,6 @@
     private static final double CERTAIN = 8;
     /** No worker is taken to run more jobs at once, whatever a report says: arithmetic must stay bounded. */
     private static final int MOST_SLOTS = 64;
-    private static final double HINT_PRIOR = 4; // in well-hinted jobs
     /** Being late is taken to lose at least this part of the value, where settings say it loses none. */
     private static final double LEAST_LOSS = 0.1;
     private static final double STANDARD = 1;
@@ -202,7 +201,7 @@
             }
         }
         for (Worker w : lost) {
-            rescueAll(w, true);
+            rescueAll(w, true, launch -> true);
         }
         workers.values().removeIf(w -> !w.ready && w.out.isEmpty());
     }
@@ -219,7 +218,7 @@
                 w.waits.told(now), w.failures.told(now))));
         models.forEach((id, model) -> learned.models().put(id, new Learned.OfModel(model.slots,
                 model.runs.told(now), model.waits.told(now))));
-        rows.forEach((id, row) -> learned.hints().put(id, row.told.told(now)));
+        rows.forEach((id, row) -> learned.hints().put(id, row.hints.told()));
         return learned;
     }
 
@@ -245,8 +244,8 @@
             }
         });
         learned.hints().forEach((id, told) -> {
-            if (rows.containsKey(id) && told.length > 0) {
-                rows.get(id).learn(now, told);
+            if (rows.containsKey(id)) {
+                rows.get(id).hints.take(told);
             }
         });
     }
@@ -293,7 +292,7 @@
         private Handle(Submission submission, Row row) {
             this.submission = submission;
             this.row = row;
-            this.work = row.workOf(submission.hint());
+            this.work = row.hints.workOf(submission.hint());
             this.slots = Math.max(1, submission.slots());
         }
 
@@ -318,6 +317,7 @@
         private void began(Launch launch, double at) {
             launch.startedAt = at;
             launch.worker.heard();
+            launch.worker.overtook(launch);
             double unexplained = Math.max(0, launch.unexplained(at));
             launch.worker.waits.add(now, unexplained, 1);
             launch.worker.model.waits.add(now, at - launch.sentAt, unexplained);
@@ -328,6 +328,7 @@
             Launch launch = launch(number);
             if (launch != null && launch.isOut() && share > 0) {
                 launch.worker.heard();
+                launch.heardAt = now;
                 if (!launch.hasStarted()) {
                     began(launch, Math.max(launch.sentAt, now - settings.progressEvery()));
                 }
@@ -484,7 +485,9 @@
             int before = launches.size();
             if (settings.mayCopy()) {
                 place();
-            } else if (settings.mayCancel() && row.of.effect() == Effect.IDEMPOTENT) {
+            } else if (settings.mayCancel() && (row.of.effect() == Effect.IDEMPOTENT
+                    || row.of.effect() == Effect.DEDUPLICATED && launch.worker.heardAt > launch.heardAt
+                    && cheapest(this, w -> true) != null)) {
                 launch.calledOff = true;
                 dispatcher.cancel(submission.id(), launch.number);
             }
@@ -585,13 +588,22 @@
                 w.failed();
                 w.probation = true;
             }
-            rescueAll(w, false);
+            rescueAll(w, false, launch -> true);
+        } else if (settings.progressEvery() > 0) {
+            // Guards against a connection that falls silent beside others that go on.
+            rescueAll(w, false, launch -> now - launch.heardAt > SILENCE + SILENCE_FACTOR * nextWord(launch));
         }
     }
 
-    private void rescueAll(Worker w, boolean lost) {
+    /** How long until a launch that runs tells of it: by its progress, or its end. */
+    private double nextWord(Launch launch) {
+        double run = launch.handle.work / launch.worker.speed();
+        return launch.hasStarted() ? settings.progressEvery() : Math.min(settings.progressEvery(), run);
+    }
+
+    private void rescueAll(Worker w, boolean lost, Predicate<Launch> which) {
         for (Launch launch : new ArrayList<>(w.out)) {
-            if ((lost || copiesLeft >= 1) && launch.handle.rescue(launch)) {
+            if ((lost || copiesLeft >= 1) && which.test(launch) && launch.handle.rescue(launch)) {
                 copiesLeft -= lost ? 0 : 1;
             }
         }
@@ -688,12 +700,20 @@
             }
         }
 
+        /** Workers begin in the order of the sends: what was sent before one that began has begun too. */
+        void overtook(Launch launch) {
+            for (Launch other : out) {
+                other.heardAt = other.sentAt <= launch.sentAt ? Math.min(other.heardAt, now) : other.heardAt;
+            }
+        }
+
         /** What the end of a launch tells of its worker. */
         void learn(Launch launch, Outcome outcome) {
             switch (outcome) {
                 case ANSWERED -> {
                     heard();
                     answeredAt = now;
+                    overtook(launch);
                     double from = launch.hasStarted() ? launch.startedAt : launch.sentAt;
                     if (!launch.hasStarted()) {
                         double unexplained = launch.unexplained(now) - launch.handle.work / speed();
@@ -708,7 +728,8 @@
                         if (warmth(from) >= 1) {
                             // Guards against a release that makes its whole model look slow.
                             model.learn(now, new double[] {0, launch.handle.work, run});
-                            launch.handle.row.learn(launch.handle.submission.hint(), run * speed());
+                            launch.handle.row.hints.learn(launch.handle.submission.hint(),
+                                    run * speed());
                         }
                     }
                     if (++goodTrials >= GOOD_TRIALS) {
@@ -932,6 +953,8 @@
         final Listing place;
         final double sentAt;
         double startedAt = -1;
+        /** When it last was heard of, or must have begun, as what was sent after it had; else never. */
+        double heardAt = Double.POSITIVE_INFINITY;
         /** How long it will run in all, by its progress; 0 until that is told. */
         double runFor;
         double ownWait;
@@ -976,57 +999,13 @@
     private static final class Row {
         final Settings.Offering of;
         final double value;
-        /** Logarithms of hints, and of the work that the same jobs turned out to be. */
-        final Samples told = new Samples(KEPT_ARRIVALS);
-        final Samples hints = new Samples(KEPT_ARRIVALS);
-        private double slope = 1;
-        private double middle;
-        private double scale = 1;
+        final Hints hints = new Hints(KEPT_ARRIVALS);
 
         Row(Settings.Offering of) {
             this.of = of;
             value = of.value() > 0 ? of.value() : 1;
         }
 
-        /** The hint, drawn to its offering's middle as far as hints lately misled; their mean if none. */
-        double workOf(double hint) {
-            if (!(hint > 0)) {
-                // Also against a hint of nothing, by which a crossing's price would have no end.
-                return hints.meanOfFirst(STANDARD);
-            }
-            hints.add(0, hint, 0);
-            return slope < 1 ? scale * Math.exp(slope * (Math.log(hint) - middle)) : hint;
-        }
-
-        /** Guards against rough hints taken at their word: work's slope on hint tells how far to trust. */
-        void learn(double hint, double work) {
-            if (!(hint > 0)) {
-                return;
-            }
-            learn(0, new double[] {0, Math.log(hint), Math.log(work)});
-        }
-
-        void learn(double now, double[] samples) {
-            told.take(now, samples);
-            double n = told.size();
-            middle = told.sumOfFirst() / n;
-            double meanWork = told.sumOfSecond() / n;
-            double both = HINT_PRIOR;
-            double own = HINT_PRIOR;
-            for (int i = 0; i < n; i++) {
-                both += (told.first(i) - middle) * (told.second(i) - meanWork);
-                own += (told.first(i) - middle) * (told.first(i) - middle);
-            }
-            slope = Math.max(0, Math.min(1, both / own));
-            double drawn = 0;
-            double plain = 0;
-            for (int i = 0; i < n; i++) {
-                drawn += Math.exp(slope * (told.first(i) - middle));
-                plain += Math.exp(told.first(i));
-            }
-            scale = plain / drawn;
-        }
-
         /** Also once it may have run: a repeat anywhere does no harm. */
         boolean mayBounceAfterAll() {
             return of.effect() == Effect.IDEMPOTENT
@@ -1039,7 +1018,7 @@
 
         /** Guards against patient offerings filling an overload's queues, where the others then starve. */
         double patience() {
-            double work = hints.meanOfFirst(STANDARD);
+            double work = hints.mean();
             return borne(work, work) / Math.sqrt(value);
         }
 
--- a/daemon/src/test/java/wheelroute/ChoiceTest.java
+++ b/daemon/src/test/java/wheelroute/ChoiceTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -105,6 +106,48 @@
         }
     }
 
+    @DataProvider
+    public Object[][] words() {
+        // How many times one launch tells of its progress, a second apart; whether it is given up by a time,
+        // in tenths of a second, at which its worker as a whole is not silent yet.
+        return new Object[][] {{Effect.IDEMPOTENT, 0, 24, 1}, {Effect.IDEMPOTENT, 9, 80, 0},
+            {Effect.DEDUPLICATED, 0, 24, 1}, {Effect.UNREPEATABLE, 0, 24, 0}};
+    }
+
+    /** Guards against one connection that falls silent at a worker that goes on answering the others. */
+    @Test(dataProvider = "words")
+    public void aSilentLaunchIsRescuedBesideOthersThatGoOn(Effect effect, int words, int tenths,
+            int cancels) {
+        World.Given given = new World.Given();
+        given.effect = effect;
+        given.mayCopy = false;
+        given.tellsStart = false;
+        given.progressEvery = 1;
+        World w = new World(given).list(2);
+        // Two at a time, so that the others need not wait for the one.
+        List<Policy.Handle> two = List.of(w.take(1.2), w.take(1.2), w.take(1.2), w.take(1.2));
+        w.pass(1.1);
+        two.forEach(handle -> handle.progressed(0, 0.9));
+        w.pass(0.1).policy.woken();
+        two.forEach(handle -> w.end(handle, 0, Outcome.ANSWERED));
+        // The first is the faster one, so that the others go there beside the one.
+        for (int i = 0; i < 60; i++) {
+            Policy.Handle handle = w.take(0.1);
+            w.pass(w.lastWorker() == 1 ? 0.1 : 0.5).end(handle, 0, Outcome.ANSWERED);
+        }
+        w.did.clear();
+        Policy.Handle silent = w.take(0.4);
+        for (int i = 0; i < tenths; i++) {
+            Policy.Handle other = w.take(0.1);
+            w.pass(0.1).end(other, 0, Outcome.ANSWERED);
+            w.policy.woken();
+            if (i % 10 == 9 && i / 10 < words) {
+                silent.progressed(0, 0.01 * (i + 1));
+            }
+        }
+        assertEquals(w.count("cancel"), cancels, w.did.toString());
+    }
+
     @DataProvider
     public Object[][] ages() {
         // Seconds since a worker's start, and whether it is always chosen beside one that has waits.
