A process with a door starts as fast as one without: its Unix socket waits for the clients

The log of class loading showed what: the handover's classes and lambdas were in no archive (the first lambda that is not costs 0.1 s), the runtime's Unix sockets bring its random numbers with them, the process's number a thread pool; and listening waited for the first round of the loop. Ruled out: the door itself (its classes are two).

Change: the archive is recorded with a door and a TMPDIR; where no file stands, no predecessor is asked; the own socket is made 0.05 s after listening, under a name without the process's number.

--- a/daemon/src/main/cds/record.sh
+++ b/daemon/src/main/cds/record.sh
@@ -12,7 +12,9 @@
 # The service is its own worker and its own discovery here: so a message's whole way is in the archive.
 port=$((20000 + RANDOM % 20000))
 sed "s/PORT/$port/g" daemon/src/main/cds/serve.json > daemon/target/serve.json
-LB_CONFIG=daemon/target/serve.json "$java" -XX:ArchiveClassesAtExit=daemon/target/serve.jsa $options \
+# With a door and a place to meet: a process that takes another's place has to start as fast as any.
+mkdir -p daemon/target/meet
+TMPDIR=$PWD/daemon/target/meet LB_CONFIG=daemon/target/serve.json "$java" -XX:ArchiveClassesAtExit=daemon/target/serve.jsa $options \
     -jar daemon/target/wheelroute.jar serve 2> daemon/target/serve.out &
 pid=$!
 tries=0
@@ -28,6 +30,10 @@
         "$message"; printf 'Content-Length: 2\r\n\r\nhi'; cat <&3 > daemon/target/cds.out; } \
         3<> "/dev/tcp/127.0.0.1/$port" >&3 || true
 done
+door=$(sed -n 's/.*operators call [^:]*:\([0-9]*\).*/\1/p' daemon/target/serve.out)
+for call in READY STATS; do
+    { printf '%s\n' "$call"; cat <&3 > daemon/target/cds.out; } 3<> "/dev/tcp/127.0.0.1/$door" >&3 || true
+done
 kill -HUP "$pid" || true
 kill -TERM "$pid" || true
 wait "$pid" || true
--- a/daemon/src/main/java/wheelroute/net/handover/Handover.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Handover.java
@@ -49,6 +49,8 @@
     public static final int DESCRIPTORS = 4;
     /** What a predecessor has not told by then is done without: it may be stuck, or of another kind. */
     private static final double PATIENCE = 0.5;
+    /** Well before anybody could have begun to replace a process that has just begun itself. */
+    private static final double SOON = 0.05;
     private static final String GREETING = "wheelroute-handover";
     /** No two files of one process may have one name. */
     private static final AtomicInteger ANNOUNCED = new AtomicInteger();
@@ -83,6 +85,11 @@
     /** Asks a predecessor for what it knows, if there is one; {@link Here#told} follows in any case, once. */
     public void begin() {
         waiting = true;
+        if (!Files.exists(path)) {
+            // Nobody has ever been there: clients need not wait for what it takes to ask.
+            told();
+            return;
+        }
         loop.connect(UnixDomainSocketAddress.of(path), new Loop.Peer() {
             @Override
             public Connection opened(EndPoint endPoint) {
@@ -114,12 +121,20 @@
         if (predecessor != null) {
             predecessor.say("serving", "");
         }
-        announce();
+        // After the clients that wait: a process that is to take our place comes later.
+        loop.later(SOON, this::announceFirst);
+    }
+
+    private void announceFirst() {
+        if (serving && server == null) {
+            announce();
+        }
     }
 
     /** Under a name of its own first: whoever looks finds the old socket or the new one, and always one. */
     private void announce() {
-        Path own = path.resolveSibling(path.getFileName() + "." + ProcessHandle.current().pid() + "-"
+        // Asking the system for the process's number costs a start more than all the rest of this.
+        Path own = path.resolveSibling(path.getFileName() + "." + Long.toHexString(System.nanoTime()) + "-"
                 + ANNOUNCED.incrementAndGet());
         try {
             withdraw();
--- a/daemon/src/test/java/wheelroute/RulesTest.java
+++ b/daemon/src/test/java/wheelroute/RulesTest.java
@@ -194,7 +194,7 @@
     @DataProvider
     public Object[][] coldBudgets() {
         return new Object[][] {
-            // dispatchers, processes of this one, seconds since the start, work each, most of it in one window
+            // dispatchers, processes of this one, seconds since the start, work each, most of it in a window
             // of 3 s; speed and slots are the standard ones here, so the budget is 4 x warmth x 3 s
             {1, 1, 0.1, 0.3, 12.0 * 0.26},
             {1, 2, 0.1, 0.3, 12.0 * 0.26 / 2},
