One reader of lines for workers, neighbours and the door

Seen on reading the change again: Neighbour.received and Call.received gathered bytes to a bounded line as LaunchDecoder.piece did before them. Neighbour kept the buffer of its longest line, up to 1 MiB, for as long as the connection lived; the decoder had a guard against just that.

Change: LineBuffer, with the decoder's guard, serves all three; bounds and answers as before.

--- a/daemon/src/main/java/wheelroute/net/admin/Call.java
+++ b/daemon/src/main/java/wheelroute/net/admin/Call.java
@@ -1,9 +1,11 @@
 package wheelroute.net.admin;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
+import wheelroute.net.LineBuffer;
 import wheelroute.net.Link;
 import wheelroute.net.Loop;
 
@@ -15,7 +17,7 @@
     private static final double PATIENCE = 2;
 
     private final Door door;
-    private final StringBuilder line = new StringBuilder();
+    private final LineBuffer lines = new LineBuffer(MOST_LINE);
     private Loop.Timer patience;
     private boolean answered;
 
@@ -33,23 +35,30 @@
 
     @Override
     protected void received(ByteBuffer in) {
-        while (in.hasRemaining() && !answered) {
-            char next = (char) in.get();
-            if (next == '\n') {
-                answer(door.answer(line.toString().strip()));
-            } else if (line.append(next).length() > MOST_LINE) {
-                answer("fail a call is one line of at most " + MOST_LINE + " characters\n");
+        if (answered) {
+            return;
+        }
+        try {
+            byte[] line = lines.next(in);
+            if (line != null) {
+                answerTo(line);
             }
+        } catch (IOException e) {
+            answer("fail a call is one line of at most " + MOST_LINE + " characters\n");
         }
     }
 
+    private void answerTo(byte[] line) {
+        answer(door.answer(new String(line, StandardCharsets.UTF_8).strip()));
+    }
+
     /** The end of a caller's sending ends its line too. */
     @Override
     protected void atEnd() {
-        if (answered || line.isEmpty()) {
+        if (answered || lines.isEmpty()) {
             close();
         } else {
-            answer(door.answer(line.toString().strip()));
+            answerTo(lines.rest());
         }
     }
 
--- a/daemon/src/main/java/wheelroute/net/handover/Neighbour.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Neighbour.java
@@ -1,12 +1,12 @@
 package wheelroute.net.handover;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
+import wheelroute.net.LineBuffer;
 import wheelroute.net.Link;
 import wheelroute.net.Loop;
 
@@ -27,7 +27,7 @@
     }
 
     private final Hearer hearer;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final LineBuffer lines = new LineBuffer(MOST_LINE);
     private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
     private long unsentBytes;
     private boolean sending;
@@ -73,19 +73,11 @@
 
     @Override
     protected void received(ByteBuffer in) throws IOException {
-        while (in.hasRemaining() && !left) {
-            byte next = in.get();
-            if (next == '\n') {
-                String text = line.toString(StandardCharsets.UTF_8);
-                line.reset();
-                int space = text.indexOf(' ');
-                hearer.said(this, space < 0 ? text : text.substring(0, space),
-                        space < 0 ? "" : text.substring(space + 1));
-            } else if (line.size() == MOST_LINE) {
-                throw new IOException("a line is over " + MOST_LINE);
-            } else {
-                line.write(next);
-            }
+        for (byte[] line = lines.next(in); line != null && !left; line = lines.next(in)) {
+            String text = new String(line, StandardCharsets.UTF_8);
+            int space = text.indexOf(' ');
+            hearer.said(this, space < 0 ? text : text.substring(0, space),
+                    space < 0 ? "" : text.substring(space + 1));
         }
     }
 
--- a/daemon/src/main/java/wheelroute/net/workers/LaunchDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/workers/LaunchDecoder.java
@@ -1,6 +1,5 @@
 package wheelroute.net.workers;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -8,6 +7,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import wheelroute.net.AnswerParser;
 import wheelroute.net.End;
+import wheelroute.net.LineBuffer;
 
 /** Decodes what a worker answers to one launch after the other on a connection. */
 final class LaunchDecoder implements AnswerParser.Reader {
@@ -27,7 +27,7 @@
     private static final int MOST_LINE = 64 * 1024;
 
     private final AnswerParser parser = new AnswerParser(this);
-    private ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final LineBuffer lines = new LineBuffer(MOST_LINE);
     private final Hearer hearer;
     private String id;
     private boolean inLines;
@@ -42,7 +42,7 @@
         id = submission;
         over = false;
         inLines = false;
-        line.reset();
+        lines.clear();
     }
 
     void decode(ByteBuffer in) throws IOException {
@@ -77,24 +77,15 @@
 
     @Override
     public void piece(ByteBuffer bytes) throws IOException {
-        while (inLines && bytes.hasRemaining()) {
-            byte b = bytes.get();
-            if (b != '\n') {
-                line.write(b);
-                if (line.size() > MOST_LINE) {
-                    throw new IOException("a line is over " + MOST_LINE);
-                }
-            } else {
-                endLine();
+        if (inLines) {
+            for (byte[] line = lines.next(bytes); line != null; line = lines.next(bytes)) {
+                endLine(line);
             }
         }
         bytes.position(bytes.limit());
     }
 
-    private void endLine() throws IOException {
-        byte[] bytes = line.toByteArray();
-        // Anew, for a connection must not hold on to the longest line that it has seen.
-        line = new ByteArrayOutputStream();
+    private void endLine(byte[] bytes) throws IOException {
         if (over || new String(bytes, StandardCharsets.UTF_8).isBlank()) {
             return;
         }
@@ -127,9 +118,9 @@
 
     @Override
     public void end(boolean keepsOpen) throws IOException {
-        if (inLines && line.size() > 0) {
+        if (inLines && !lines.isEmpty()) {
             // A last line needs no line feed when the body ends with it.
-            endLine();
+            endLine(lines.rest());
         }
         if (!over) {
             throw new IOException("the answer ends without its last line");
