What belongs to one neighbour is kept with it, and each fact comes to Service one way

Seen on reading the change again: Handover kept an array of neighbours, an array of what each was told, a set of the greeted and two sets of ids beside each other, with a choice between them at every use and each to be cleared when a neighbour left. Service.Here passed five calls through to Exchanges, and whether there is a successor came as an argument and by a method. A message told to come back was counted in two places, one of them in two calls.

Change: a Neighbour has its side, its greeting, its ids and what it was told; Exchanges is the Handover's Knowledge; Service asks for processes and successor; Exchanges.turnedAway counts.

--- a/daemon/src/main/java/wheelroute/net/Exchanges.java
+++ b/daemon/src/main/java/wheelroute/net/Exchanges.java
@@ -31,7 +31,7 @@
 import wheelroute.net.workers.Workers;
 
 /** Drives the decisions: every event is one turn, and what a turn brings about waits for the next. */
-final class Exchanges implements Dispatcher, Submitters, ListWatch.Hearer {
+final class Exchanges implements Dispatcher, Submitters, ListWatch.Hearer, Handover.Knowledge {
     /**
      * Kept back of what a client says it will wait, but no more than that part of it: on a busy core the
      * message may have lain unread for tens of milliseconds, and the answer must still reach the client.
@@ -154,8 +154,7 @@
             throw new BadMessage(HttpStatus.CONFLICT_409, "a submission with this id is open");
         }
         if (mustComeBack(message, offering)) {
-            counters.count(Counters.Kind.NOT_TAKEN);
-            counters.count(offering.id(), Counters.Answer.BOUNCED);
+            turnedAway(message);
             answers.answer(ClientAnswer.bounced(adviceFor(0)));
             return () -> { };
         }
@@ -195,6 +194,7 @@
 
     @Override
     public void turnedAway(ClientMessage message) {
+        counters.count(Counters.Kind.NOT_TAKEN);
         Settings.Offering offering = offerings.get(message.offering());
         if (offering != null) {
             counters.count(offering.id(), Counters.Answer.BOUNCED);
@@ -265,34 +265,38 @@
         return handover != null && handover.hasSuccessor();
     }
 
-    /** The list as last told, in discovery's form; null for none. */
-    String list() {
+    @Override
+    public String list() {
         return version == ListWatch.NOTHING ? null : new WorkerList(version, true,
                 members.values().stream().map(Member::entry).toList()).encode();
     }
 
     /** Discovery's own word may have come in the meantime, and is the newer one. */
-    void listTold(byte[] list) throws IOException {
+    @Override
+    public void listTold(byte[] list) throws IOException {
         WorkerList told = WorkerList.decode(list);
         if (told.version() > version) {
             listed(told, true);
         }
     }
 
-    String learned() {
+    @Override
+    public String learned() {
         policy.at(loop.now());
         Map<Ids.Worker, String> names = new HashMap<>();
         members.forEach((name, member) -> names.put(member.worker, name));
         return LearnedText.encode(policy.learned(), names::get);
     }
 
-    void learnedTold(byte[] learned) throws IOException {
+    @Override
+    public void learnedTold(byte[] learned) throws IOException {
         Learned told = LearnedText.decode(learned, name -> members.containsKey(name)
                 ? members.get(name).worker : null);
         turn(() -> policy.learn(told));
     }
 
-    Iterable<String> openIds() {
+    @Override
+    public Iterable<String> openIds() {
         return new ArrayList<>(openIds);
     }
 
--- a/daemon/src/main/java/wheelroute/net/LineBuffer.java
+++ b/daemon/src/main/java/wheelroute/net/LineBuffer.java
@@ -13,7 +13,7 @@
         this.most = most;
     }
 
-    /** The next line without its end, or null when more bytes are wanted; what follows stays in the buffer. */
+    /** The next line without its end, or null when more bytes are wanted; what follows stays. */
     public byte[] next(ByteBuffer in) throws IOException {
         while (in.hasRemaining()) {
             byte b = in.get();
--- a/daemon/src/main/java/wheelroute/net/Service.java
+++ b/daemon/src/main/java/wheelroute/net/Service.java
@@ -114,7 +114,7 @@
         }
         if (config.meeting() != null) {
             String name = config.name() + " " + config.listen();
-            handover = new Handover(loop, config.meeting(), name, new Here());
+            handover = new Handover(loop, config.meeting(), name, exchanges, new Others());
             exchanges.handover(handover);
         }
     }
@@ -244,44 +244,19 @@
         drained.countDown();
     }
 
-    /** This process, to the others of the same dispatcher. */
-    private final class Here implements Handover.Here {
-        @Override
-        public String list() {
-            return exchanges.list();
-        }
-
-        @Override
-        public String learned() {
-            return exchanges.learned();
-        }
-
-        @Override
-        public Iterable<String> openIds() {
-            return exchanges.openIds();
-        }
-
-        @Override
-        public void listTold(byte[] list) throws IOException {
-            exchanges.listTold(list);
-        }
-
-        @Override
-        public void learnedTold(byte[] learned) throws IOException {
-            exchanges.learnedTold(learned);
-        }
-
+    /** What follows from the other processes of this dispatcher. */
+    private final class Others implements Handover.Hearer {
         @Override
         public void told() {
             starting(Service.this::listen);
         }
 
         @Override
-        public void placesChanged(int processes, boolean hasSuccessor) {
-            exchanges.sharedBy(processes);
-            workers.sharedBy(processes);
-            clients.sharedBy(processes);
-            if (hasSuccessor && exchanges.isDraining()) {
+        public void placesChanged() {
+            exchanges.sharedBy(handover.processes());
+            workers.sharedBy(handover.processes());
+            clients.sharedBy(handover.processes());
+            if (handover.hasSuccessor() && exchanges.isDraining()) {
                 clients.stopListening();
             }
         }
--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -135,7 +135,6 @@
         }
         if (turnedAway) {
             // Nothing is taken; the client may try another dispatcher at once.
-            clients.notTaken();
             clients.turnedAway(message);
             lastMessage = true;
             answer(ClientAnswer.bounced(0));
--- a/daemon/src/main/java/wheelroute/net/handover/Handover.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Handover.java
@@ -9,9 +9,9 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.PosixFilePermissions;
-import java.util.HashSet;
+import java.util.EnumMap;
 import java.util.Locale;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.zip.CRC32;
 import org.eclipse.jetty.io.Connection;
@@ -25,8 +25,8 @@
  * its own. They meet on a Unix socket in a directory that they share; docs/design/handover.md has the words.
  */
 public final class Handover implements Neighbour.Hearer {
-    /** What this process has to tell, and is told. */
-    public interface Here {
+    /** What this process knows, to be told to the next, and what it is told by the one before. */
+    public interface Knowledge {
         /** The list as last told, in discovery's form; null for none. */
         String list();
 
@@ -37,12 +37,15 @@
         void listTold(byte[] list) throws IOException;
 
         void learnedTold(byte[] learned) throws IOException;
+    }
 
+    /** What follows for this process. */
+    public interface Hearer {
         /** All is told that will be told: clients may be listened to. */
         void told();
 
-        /** What is one dispatcher's is shared by so many; and whether another one has taken our place. */
-        void placesChanged(int processes, boolean hasSuccessor);
+        /** Others have come, spoken or gone: see {@link #processes} and {@link #hasSuccessor}. */
+        void placesChanged();
     }
 
     /** The listening socket, a neighbour on either side, and one that is being greeted. */
@@ -58,15 +61,10 @@
 
     private final Loop loop;
     private final Path path;
-    private final Here here;
+    private final Knowledge knowledge;
+    private final Hearer hearer;
     private final Places places = new Places();
-    private final Neighbour[] neighbours = new Neighbour[Places.Side.values().length];
-    /** What each neighbour was told last; who has been told nothing takes it for none. */
-    private final int[] toldBehind = new int[Places.Side.values().length];
-    private final Set<Neighbour> greeted = new HashSet<>();
-    /** Ids open at either neighbour. */
-    private final Set<String> before = new HashSet<>();
-    private final Set<String> after = new HashSet<>();
+    private final Map<Places.Side, Neighbour> neighbours = new EnumMap<>(Places.Side.class);
     private ServerSocketChannel server;
     private boolean waiting;
     private boolean serving;
@@ -74,15 +72,16 @@
     private Object fileKey;
 
     /** Of one dispatcher, by its name and its clients' address, in a directory that its processes share. */
-    public Handover(Loop loop, Path directory, String name, Here here) {
+    public Handover(Loop loop, Path directory, String name, Knowledge knowledge, Hearer hearer) {
         this.loop = loop;
-        this.here = here;
+        this.knowledge = knowledge;
+        this.hearer = hearer;
         CRC32 crc = new CRC32();
         crc.update(name.getBytes(StandardCharsets.UTF_8));
         path = directory.resolve(String.format(Locale.ROOT, "wheelroute-%08x.sock", crc.getValue()));
     }
 
-    /** Asks a predecessor for what it knows, if there is one; {@link Here#told} follows in any case, once. */
+    /** Asks a predecessor for what it knows, if there is one; {@link Hearer#told} follows in any case. */
     public void begin() {
         waiting = true;
         if (!Files.exists(path)) {
@@ -93,8 +92,8 @@
         loop.connect(UnixDomainSocketAddress.of(path), new Loop.Peer() {
             @Override
             public Connection opened(EndPoint endPoint) {
-                Neighbour neighbour = new Neighbour(endPoint, loop, Handover.this);
-                neighbours[Places.Side.BEFORE.ordinal()] = neighbour;
+                Neighbour neighbour = new Neighbour(endPoint, loop, Places.Side.BEFORE, Handover.this);
+                neighbours.put(Places.Side.BEFORE, neighbour);
                 return neighbour;
             }
 
@@ -110,14 +109,14 @@
     private void told() {
         if (waiting) {
             waiting = false;
-            here.told();
+            hearer.told();
         }
     }
 
     /** This process takes clients: its predecessor may end, and its own successor may find it. */
     public void serving() {
         serving = true;
-        Neighbour predecessor = neighbours[Places.Side.BEFORE.ordinal()];
+        Neighbour predecessor = neighbours.get(Places.Side.BEFORE);
         if (predecessor != null) {
             predecessor.say("serving", "");
         }
@@ -138,11 +137,10 @@
                 + ANNOUNCED.incrementAndGet());
         try {
             withdraw();
-            Files.deleteIfExists(own);
             server = loop.listen(UnixDomainSocketAddress.of(own), new Loop.Peer() {
                 @Override
                 public Connection opened(EndPoint endPoint) {
-                    return new Neighbour(endPoint, loop, Handover.this);
+                    return new Neighbour(endPoint, loop, Places.Side.AFTER, Handover.this);
                 }
 
                 @Override
@@ -188,12 +186,23 @@
         withdraw();
     }
 
+    /** What is one dispatcher's is shared by so many. */
+    public int processes() {
+        return places.processes();
+    }
+
+    /** Another process takes clients in this one's place. */
     public boolean hasSuccessor() {
         return places.hasSuccessor();
     }
 
     public boolean isOpenElsewhere(String id) {
-        return before.contains(id) || after.contains(id);
+        for (Neighbour neighbour : neighbours.values()) {
+            if (neighbour.openIds.contains(id)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     public void opened(String id) {
@@ -205,10 +214,8 @@
     }
 
     private void sayToAll(String word, String about) {
-        for (Neighbour neighbour : neighbours) {
-            if (neighbour != null) {
-                neighbour.say(word, about);
-            }
+        for (Neighbour neighbour : neighbours.values()) {
+            neighbour.say(word, about);
         }
     }
 
@@ -216,38 +223,36 @@
     public void opened(Neighbour neighbour) {
         neighbour.say(GREETING, "");
         loop.later(PATIENCE, () -> {
-            if (!greeted.contains(neighbour)) {
+            if (!neighbour.greeted) {
                 neighbour.close();
             }
         });
-        if (neighbour == neighbours[Places.Side.BEFORE.ordinal()]) {
-            here.openIds().forEach(id -> neighbour.say("open", id));
+        if (neighbour.side == Places.Side.BEFORE) {
+            knowledge.openIds().forEach(id -> neighbour.say("open", id));
         }
     }
 
     @Override
     public void said(Neighbour neighbour, String word, String about) throws IOException {
-        if (!greeted.contains(neighbour)) {
+        if (!neighbour.greeted) {
             greet(neighbour, word);
             return;
         }
-        Places.Side side = sideOf(neighbour);
-        Set<String> open = side == Places.Side.BEFORE ? before : after;
         switch (word) {
-            case "open" -> open.add(about);
-            case "over" -> open.remove(about);
+            case "open" -> neighbour.openIds.add(about);
+            case "over" -> neighbour.openIds.remove(about);
             case "beyond" -> {
-                places.beyond(side, number(about));
+                places.beyond(neighbour.side, number(about));
                 changed();
             }
             case "serving" -> {
-                if (side == Places.Side.AFTER) {
+                if (neighbour.side == Places.Side.AFTER) {
                     places.serves();
                     changed();
                 }
             }
             case "list", "learned", "told" -> {
-                if (side == Places.Side.BEFORE) {
+                if (neighbour.side == Places.Side.BEFORE) {
                     predecessorTells(word, about);
                 }
             }
@@ -259,27 +264,27 @@
         if (!word.equals(GREETING)) {
             throw new IOException("not a process of this dispatcher");
         }
-        greeted.add(neighbour);
-        if (neighbour != neighbours[Places.Side.BEFORE.ordinal()]) {
+        neighbour.greeted = true;
+        if (neighbour.side == Places.Side.AFTER) {
             succeededBy(neighbour);
         }
-        places.came(sideOf(neighbour));
+        places.came(neighbour.side);
         changed();
     }
 
     /** Tells the one that is to take our place all that is known; the newest of several counts. */
     private void succeededBy(Neighbour neighbour) {
-        Neighbour older = neighbours[Places.Side.AFTER.ordinal()];
+        Neighbour older = neighbours.get(Places.Side.AFTER);
         if (older != null) {
             older.close();
         }
-        neighbours[Places.Side.AFTER.ordinal()] = neighbour;
-        String list = here.list();
+        neighbours.put(Places.Side.AFTER, neighbour);
+        String list = knowledge.list();
         if (list != null) {
             neighbour.say("list", list);
         }
-        neighbour.say("learned", here.learned());
-        here.openIds().forEach(id -> neighbour.say("open", id));
+        neighbour.say("learned", knowledge.learned());
+        knowledge.openIds().forEach(id -> neighbour.say("open", id));
         neighbour.say("told", "");
         LOG.info("another process is about to take this one's place");
     }
@@ -292,8 +297,8 @@
         byte[] text = about.getBytes(StandardCharsets.UTF_8);
         try {
             switch (word) {
-                case "list" -> here.listTold(text);
-                case "learned" -> here.learnedTold(text);
+                case "list" -> knowledge.listTold(text);
+                case "learned" -> knowledge.learnedTold(text);
                 default -> told();
             }
         } catch (IOException e) {
@@ -310,39 +315,22 @@
         }
     }
 
-    private Places.Side sideOf(Neighbour neighbour) {
-        return neighbour == neighbours[Places.Side.BEFORE.ordinal()] ? Places.Side.BEFORE : Places.Side.AFTER;
-    }
-
     @Override
     public void left(Neighbour neighbour) {
-        greeted.remove(neighbour);
-        for (Places.Side side : Places.Side.values()) {
-            if (neighbours[side.ordinal()] == neighbour) {
-                neighbours[side.ordinal()] = null;
-                toldBehind[side.ordinal()] = 0;
-                (side == Places.Side.BEFORE ? before : after).clear();
-                boolean wasLast = side == Places.Side.AFTER && places.endsAfterNext();
-                places.left(side);
-                changed();
-                if (wasLast && serving) {
-                    // Its file may stand where ours stood.
-                    announce();
-                }
+        if (neighbours.remove(neighbour.side, neighbour)) {
+            boolean wasLast = neighbour.side == Places.Side.AFTER && places.endsAfterNext();
+            places.left(neighbour.side);
+            changed();
+            if (wasLast && serving) {
+                // Its file may stand where ours stood.
+                announce();
             }
         }
         told();
     }
 
     private void changed() {
-        for (Places.Side side : Places.Side.values()) {
-            // Only news: an answer to each word would be answered for ever.
-            int behind = places.behind(side);
-            if (neighbours[side.ordinal()] != null && behind != toldBehind[side.ordinal()]) {
-                toldBehind[side.ordinal()] = behind;
-                neighbours[side.ordinal()].say("beyond", Integer.toString(behind));
-            }
-        }
-        here.placesChanged(places.processes(), places.hasSuccessor());
+        neighbours.forEach((side, neighbour) -> neighbour.tellBehind(places.behind(side)));
+        hearer.placesChanged();
     }
 }
--- a/daemon/src/main/java/wheelroute/net/handover/Neighbour.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Neighbour.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 import wheelroute.net.LineBuffer;
@@ -26,15 +28,22 @@
         void left(Neighbour neighbour);
     }
 
+    final Places.Side side;
+    /** The clients' ids that are open there. */
+    final Set<String> openIds = new HashSet<>();
+    boolean greeted;
     private final Hearer hearer;
     private final LineBuffer lines = new LineBuffer(MOST_LINE);
     private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
     private long unsentBytes;
     private boolean sending;
     private boolean left;
+    /** Who has been told nothing takes it for none. */
+    private int toldBehind;
 
-    Neighbour(EndPoint endPoint, Loop loop, Hearer hearer) {
+    Neighbour(EndPoint endPoint, Loop loop, Places.Side side, Hearer hearer) {
         super(endPoint, loop);
+        this.side = side;
         this.hearer = hearer;
     }
 
@@ -56,6 +65,14 @@
         }
     }
 
+    /** Only news: an answer to each word would be answered for ever. */
+    void tellBehind(int behind) {
+        if (behind != toldBehind) {
+            toldBehind = behind;
+            say("beyond", Integer.toString(behind));
+        }
+    }
+
     private void sendNext() {
         if (sending || unsent.isEmpty() || left) {
             return;
