A socket that cannot get its name is removed, not left under its temporary one

Seen on reading the change again: Handover.announce deleted its temporary file before it was made, where none can be, and left it where the rename failed, one for each start.

Change: it is removed on the way out of the failure. The test puts a folder in the name's place and fails without the change.

--- a/daemon/src/main/java/wheelroute/net/handover/Handover.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Handover.java
@@ -154,6 +154,7 @@
         } catch (IOException | RuntimeException e) {
             LOG.warn("a process that is to replace this one will not find it: {}", e.toString());
             withdraw();
+            remove(own);
         }
     }
 
@@ -178,14 +179,22 @@
         serving = false;
         try {
             if (server != null && Files.exists(path) && keyOf(path).equals(fileKey)) {
-                Files.deleteIfExists(path);
+                remove(path);
             }
         } catch (IOException e) {
-            LOG.debug("the handover's file stays", e);
+            LOG.debug("whose file stands there cannot be told", e);
         }
         withdraw();
     }
 
+    private static void remove(Path file) {
+        try {
+            Files.deleteIfExists(file);
+        } catch (IOException e) {
+            LOG.debug("the handover's file stays", e);
+        }
+    }
+
     /** What is one dispatcher's is shared by so many. */
     public int processes() {
         return places.processes();
--- a/daemon/src/test/java/wheelroute/net/ReplacementTest.java
+++ b/daemon/src/test/java/wheelroute/net/ReplacementTest.java
@@ -283,6 +283,23 @@
         assertEquals(call(next, "READY\n"), "ok ready\n");
     }
 
+    /** A name that cannot be had leaves nothing under the one that was to be put there. */
+    @Test(timeOut = PATIENCE)
+    public void leavesNoFileBehindWhereItCannotBeFound() throws Exception {
+        serveKnown(Effect.IDEMPOTENT);
+        Path file = onlyFile();
+        service.drain();
+        Files.createDirectory(file);
+        service = another(meeting, port);
+        service.start();
+        // A plain restart listens for longer than it takes until the name is wanted.
+        service.drain();
+        service = null;
+        try (var files = Files.list(meeting)) {
+            assertEquals(files.toList(), List.of(file));
+        }
+    }
+
     private ServerSocketChannel listen(Path file) throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
         open.add(server);
