--- a/daemon/src/main/cds/record.sh
+++ b/daemon/src/main/cds/record.sh
@@ -14,7 +14,8 @@
 sed "s/PORT/$port/g" daemon/src/main/cds/serve.json > daemon/target/serve.json
 # With a door and a place to meet: a process that takes another's place has to start as fast as any.
 mkdir -p daemon/target/meet
-TMPDIR=$PWD/daemon/target/meet LB_CONFIG=daemon/target/serve.json "$java" -XX:ArchiveClassesAtExit=daemon/target/serve.jsa $options \
+TMPDIR=$PWD/daemon/target/meet LB_CONFIG=daemon/target/serve.json \
+    "$java" -XX:ArchiveClassesAtExit=daemon/target/serve.jsa $options \
     -jar daemon/target/wheelroute.jar serve 2> daemon/target/serve.out &
 pid=$!
 tries=0
--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -193,6 +193,11 @@
         return address;
     }
 
+    /** As {@link #parse} reads it. */
+    public static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     /** Null for what is no address of the form host:port; the host is taken as it is, there is no DNS. */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -237,7 +237,8 @@
             ModelState model = models.get(id);
             if (model != null) {
                 model.slots = told.slots();
-                model.learn(now, told.runs());
+                model.runs.take(now, told.runs());
+                model.fit();
                 if (settings.tellsStart()) {
                     model.waits.take(now, told.waits());
                 }
@@ -727,7 +728,8 @@
                         speedAt = Double.NEGATIVE_INFINITY;
                         if (warmth(from) >= 1) {
                             // Guards against a release that makes its whole model look slow.
-                            model.learn(now, new double[] {0, launch.handle.work, run});
+                            model.runs.add(now, launch.handle.work, run);
+                            model.fit();
                             launch.handle.row.hints.learn(launch.handle.submission.hint(),
                                     run * speed());
                         }
@@ -1054,8 +1056,7 @@
             this.prior = prior;
         }
 
-        void learn(double now, double[] samples) {
-            runs.take(now, samples);
+        void fit() {
             speed = runs.size() > 0 ? runs.sumOfFirst() / runs.sumOfSecond() : speed;
         }
 
--- a/daemon/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/daemon/src/main/java/wheelroute/net/list/ListWatch.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import wheelroute.config.ConfigReader;
 import wheelroute.net.AnswerParser;
 import wheelroute.net.Counters;
 import wheelroute.net.HttpText;
@@ -182,7 +183,7 @@
             waitFor(wantsWhole ? wholeSilence() : HOLD_MILLIS / MILLIS + SILENCE);
             endPoint.write(Callback.from(() -> { }, cause -> loop.post(() -> failed(cause))),
                     new HttpText("GET " + target + " HTTP/1.1")
-                    .field("Host", address.getHostString() + ":" + address.getPort()).noBody());
+                    .field("Host", ConfigReader.text(address)).noBody());
         }
 
         @Override
--- a/daemon/src/main/java/wheelroute/net/list/WorkerList.java
+++ b/daemon/src/main/java/wheelroute/net/list/WorkerList.java
@@ -60,8 +60,7 @@
             for (Entry entry : entries) {
                 json.writeStartObject();
                 json.writeStringField("id", entry.id());
-                json.writeStringField("addr",
-                        entry.address().getHostString() + ":" + entry.address().getPort());
+                json.writeStringField("addr", ConfigReader.text(entry.address()));
                 json.writeStringField("zone", entry.zone());
                 json.writeStringField("kind", entry.kind());
                 json.writeNumberField("cell", entry.cell());
--- a/daemon/src/main/java/wheelroute/net/workers/Station.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Station.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import wheelroute.config.ConfigReader;
 import wheelroute.net.End;
 import wheelroute.net.Loop;
 
@@ -34,7 +35,7 @@
     }
 
     String host() {
-        return address.getHostString() + ":" + address.getPort();
+        return ConfigReader.text(address);
     }
 
     void send(Flight flight) {
--- a/daemon/src/test/java/wheelroute/net/OperatingTest.java
+++ b/daemon/src/test/java/wheelroute/net/OperatingTest.java
@@ -10,8 +10,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.testng.annotations.BeforeMethod;
@@ -30,29 +28,15 @@
     }
 
     private Socket caller() throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), service.adminPort());
-        open.add(socket);
-        socket.setSoTimeout(PATIENCE);
-        return socket;
+        return caller(service);
     }
 
     private String call(String text) throws IOException {
-        try (Socket socket = caller()) {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        }
+        return call(service, text);
     }
 
     private Map<String, Integer> figures() throws IOException {
-        String text = call("STATS\n");
-        assertTrue(text.endsWith("\neof\n"), text);
-        Map<String, Integer> figures = new HashMap<>();
-        for (String line : text.substring(0, text.length() - 4).split("\n")) {
-            assertTrue(line.matches("app\\.[a-z_.]+:\\d+\\|[cg]"), line);
-            figures.put(line.substring(4, line.indexOf(':')),
-                    Integer.parseInt(line.substring(line.indexOf(':') + 1, line.indexOf('|'))));
-        }
-        return figures;
+        return figures(service);
     }
 
     @DataProvider
@@ -107,7 +91,7 @@
     /** Each figure against what the peers saw of a mixed history. */
     @Test(timeOut = PATIENCE)
     public void figuresAreWhatPeersSaw() throws Exception {
-        // Served; turned away and served; errors to the last try; served after a break; still at work.
+        // Served; turned away and served; broken off and served; still at work.
         workers.answers.addAll(List.of(DONE, TURNED_AWAY, DONE, BREAK, DONE, TAKEN));
         serve(Effect.IDEMPOTENT, 1024, known(workers.listen(), workers.listen()));
         assertEquals(figures(), Map.of("completed.job", 0, "completed.patient", 0, "rejected.job", 0,
--- a/daemon/src/test/java/wheelroute/net/ReplacementTest.java
+++ b/daemon/src/test/java/wheelroute/net/ReplacementTest.java
@@ -45,13 +45,10 @@
 
     /** Starts one more process of the dispatcher that the harness serves, on the same clients' address. */
     private Service beside(Path directory) throws Exception {
-        return begun(another(directory, port));
-    }
-
-    private Service begun(Service another) throws Exception {
-        another.start();
-        open.add(another::drain);
-        return another;
+        Service next = another(directory, port);
+        next.start();
+        open.add(next::drain);
+        return next;
     }
 
     private Service another(Path directory, int clientsPort) {
@@ -77,20 +74,6 @@
         return Files.readAttributes(file, BasicFileAttributes.class).fileKey();
     }
 
-    private String call(Service whom, String text) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), whom.adminPort())) {
-            socket.setSoTimeout(PATIENCE);
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        }
-    }
-
-    private long figure(Service whom, String name) throws IOException {
-        String text = call(whom, "STATS\n");
-        String from = text.substring(text.indexOf("app." + name + ":") + name.length() + 5);
-        return Long.parseLong(from.substring(0, from.indexOf('|')));
-    }
-
     /** Two characters, as the stand-ins want it, and never the same again unless the case names it. */
     private String job(int id) {
         return post(10).replace("77", Integer.toString(FIRST_ID + id, Character.MAX_RADIX));
@@ -100,15 +83,6 @@
         return job(++lastId);
     }
 
-    private CompletableFuture<Void> drain(Service whom) {
-        CompletableFuture<Void> ended = new CompletableFuture<>();
-        start(() -> {
-            whom.drain();
-            ended.complete(null);
-        });
-        return ended;
-    }
-
     /** Whoever was connected, idle or in the middle of a message, is served; nobody is turned back. */
     @Test(timeOut = PATIENCE)
     public void nobodyIsTurnedBack() throws Exception {
@@ -164,7 +138,7 @@
         Service next = beside(meeting);
         CompletableFuture<Void> ended = drain(service);
         Socket other = connect();
-        while (figure(next, "completed.job") == 0) {
+        while (figures(next).get("completed.job") == 0) {
             // The new process alone is reached by now, or will be in a moment; it knows the open id.
             int same = status(ask(other, job(0)));
             assertEquals(same, 409);
--- a/daemon/src/test/java/wheelroute/net/ServiceHarness.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceHarness.java
@@ -1,5 +1,7 @@
 package wheelroute.net;
 
+import static org.testng.Assert.assertTrue;
+
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
@@ -11,9 +13,12 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -209,6 +214,43 @@
         return Long.parseLong(from.substring(0, from.indexOf('\n')));
     }
 
+    protected Socket caller(Service whom) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), whom.adminPort());
+        open.add(socket);
+        socket.setSoTimeout(PATIENCE);
+        return socket;
+    }
+
+    /** One call at a process's door. */
+    protected String call(Service whom, String text) throws IOException {
+        try (Socket socket = caller(whom)) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    protected Map<String, Integer> figures(Service whom) throws IOException {
+        String text = call(whom, "STATS\n");
+        assertTrue(text.endsWith("\neof\n"), text);
+        Map<String, Integer> figures = new HashMap<>();
+        for (String line : text.substring(0, text.length() - 4).split("\n")) {
+            assertTrue(line.matches("app\\.[a-z_.]+:\\d+\\|[cg]"), line);
+            figures.put(line.substring(4, line.indexOf(':')),
+                    Integer.parseInt(line.substring(line.indexOf(':') + 1, line.indexOf('|'))));
+        }
+        return figures;
+    }
+
+    /** Tells a process to end; done when it has. */
+    protected static CompletableFuture<Void> drain(Service whom) {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        start(() -> {
+            whom.drain();
+            ended.complete(null);
+        });
+        return ended;
+    }
+
     @AfterMethod(alwaysRun = true)
     public void end() throws Exception {
         for (AutoCloseable one : new ArrayList<>(open)) {
--- a/daemon/src/test/java/wheelroute/net/ServiceTest.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceTest.java
@@ -416,13 +416,8 @@
         assertTrue(message.contains("'" + key + "'"), message);
     }
 
-    /** Tells the service to end, and waits until it says so to who asks. */
-    private String drain(CompletableFuture<Void> ended) throws IOException {
-        Service draining = service;
-        start(() -> {
-            draining.drain();
-            ended.complete(null);
-        });
+    /** Waits until the service says to who asks that it has been told to end. */
+    private String awaitDraining() throws IOException {
         String health = "";
         while (!health.startsWith("HTTP/1.1 503")) {
             health = ask(connect(), HEALTH);
@@ -440,8 +435,8 @@
         assertEquals(status(ask(kept, post(10))), 200);
         Socket other = connect();
         assertEquals(status(ask(other, post(10).replace("/job/", "/other/"))), 404);
-        CompletableFuture<Void> ended = new CompletableFuture<>();
-        drain(ended);
+        CompletableFuture<Void> ended = drain(service);
+        awaitDraining();
         boolean listening = true;
         while (listening) {
             try (Socket next = connect()) {
@@ -472,8 +467,8 @@
         Socket waiting = connect();
         waiting.getOutputStream().write(post(10).getBytes(StandardCharsets.UTF_8));
         workers.next();
-        CompletableFuture<Void> ended = new CompletableFuture<>();
-        String health = drain(ended);
+        CompletableFuture<Void> ended = drain(service);
+        String health = awaitDraining();
         assertTrue(health.contains("Connection: close"), health);
         String answer = read(waiting.getInputStream());
         assertEquals(status(answer), 502, answer);
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -36,11 +36,8 @@
 done
 unset IFS
 # Where there is a door for operators this process is replaced beside its successor, and the two share the memory.
-if [ -n "${LB_ADMIN-}" ]; then
-    memory=$((memory / 2))
-else
-    case $text in *'"admin":"'*) memory=$((memory / 2)) ;; esac
-fi
+case $text in *'"admin":"'*) door=file ;; *) door=${LB_ADMIN-} ;; esac
+[ -z "$door" ] || memory=$((memory / 2))
 heap=$((memory - own))
 # Under the least nothing could be served; past the most a dispatcher has no use for it.
 [ "$heap" -ge 16 ] || heap=16
--- a/kit/src/test/java/wheelroute/kit/cli/AdminTest.java
+++ b/kit/src/test/java/wheelroute/kit/cli/AdminTest.java
@@ -5,7 +5,6 @@
 
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
-import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -14,7 +13,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import picocli.CommandLine;
 
 /** The command that asks a door, against one that says what it is told to. */
 public class AdminTest {
@@ -97,8 +95,6 @@
         String[] all = new String[args.length + 1];
         all[0] = "admin";
         System.arraycopy(args, 0, all, 1, args.length);
-        CommandLine line = Wheelroute.commandLine();
-        PrintWriter writer = new PrintWriter(said, true);
-        return line.setOut(writer).setErr(writer).execute(all);
+        return CommandLineTest.run(said, all);
     }
 }
--- a/kit/src/test/java/wheelroute/kit/cli/CommandLineTest.java
+++ b/kit/src/test/java/wheelroute/kit/cli/CommandLineTest.java
@@ -19,6 +19,10 @@
 
     private int run(String... args) {
         said.getBuffer().setLength(0);
+        return run(said, args);
+    }
+
+    static int run(StringWriter said, String... args) {
         CommandLine line = Wheelroute.commandLine();
         PrintWriter writer = new PrintWriter(said, true);
         return line.setOut(writer).setErr(writer).execute(args);
