--- a/daemon/src/main/java/wheelroute/config/SettingsReader.java
+++ b/daemon/src/main/java/wheelroute/config/SettingsReader.java
@@ -40,8 +40,8 @@
                 seconds("permissions.max_retry_after_us", 0), (int) number("permissions.most_tries", 1),
                 number("rules.cold_from", 1), seconds("rules.cold_us", 0),
                 number("rules.tip_multiple", 1), seconds("rules.fall_us", 0),
-                number("prices.cross_zone", 0), number("prices.origin", 0), flag("rules.gone_is_advice"),
-                seconds("rules.key_rest_us", 0));
+                number("prices.cross_zone", 0), number("prices.origin", 0),
+                strictFlag("rules.gone_is_advice"), rest());
     }
 
     private List<Settings.Offering> offerings() throws ConfigException {
@@ -56,7 +56,7 @@
                     seconds(row + "on_time_us", 0), stretch(row, stretches, i),
                     number(row + "worth", 1), number(row + "late_value", 0), seconds(row + "window_us", 0),
                     model.isEmpty() || model.equals("-1") ? null : new Ids.Model(modelName(model)),
-                    flag(row + "one_at_a_time")));
+                    strictFlag(row + "one_at_a_time")));
         }
         return rows;
     }
@@ -115,6 +115,23 @@
         return s.equals("true") || s.equals("1");
     }
 
+    /** For what must not be taken for off because it was written another way. */
+    private boolean strictFlag(String key) throws ConfigException {
+        String s = text(key, "false");
+        if (!List.of("true", "1", "false", "0", "-").contains(s)) {
+            throw new ConfigException(key, "is neither true nor false: " + s);
+        }
+        return flag(key);
+    }
+
+    private double rest() throws ConfigException {
+        double rest = seconds("rules.key_rest_us", 0);
+        if (!(rest >= 0)) {
+            throw new ConfigException("rules.key_rest_us", "is under 0");
+        }
+        return rest;
+    }
+
     double seconds(String key, double absent) throws ConfigException {
         return number(key, absent * MICROS) / MICROS;
     }
--- a/daemon/src/main/java/wheelroute/decision/Fetches.java
+++ b/daemon/src/main/java/wheelroute/decision/Fetches.java
@@ -32,10 +32,12 @@
     void figure(double newMeanWork) {
         meanWork = newMeanWork;
         double prior = PRIOR_RUNS / (meanWork * meanWork);
-        for (int i = 0; i < times.length; i++) {
+        for (int i = times.length - 1; i >= 0; i--) {
             double guess = PRIOR * meanWork * i / Homes.RANKED;
             times[i] = Math.max(0, (guess * prior + excess[i].sumOfFirst())
                     / (prior + excess[i].sumOfSecond()));
+            // What is kept at a later home is kept at an earlier one: else a first guess could last for ever.
+            times[i] = i == Homes.RANKED ? times[i] : Math.min(times[i], times[i + 1]);
         }
     }
 
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -653,7 +653,7 @@
         for (Worker w : fleet) {
             w.figure(h.slots);
             w.home = h.homes == null ? Homes.KEPT_HERE : Homes.RANKED;
-            capacity += w.speed() * w.slots();
+            capacity += w.speedNow * w.slots();
             slotsInAll += w.slots();
         }
         if (h.homes != null) {
@@ -731,12 +731,14 @@
     private void lookForSilence(Worker w) {
         Launch oldest = w.out.get(0);
         // What others wait is the measure: in a jam every start is late and no worker silent.
-        double expected = Math.max(oldest.expectedWait, w.model.waits.mostOfFirst());
+        double unheard = now - Math.max(w.heardAt, oldest.sentAt);
+        // Else the most of all waits is not asked for at every worker and sweep.
+        double expected = unheard <= SILENCE ? 0 : Math.max(oldest.expectedWait, w.model.waits.mostOfFirst());
         if (oldest.hasStarted() || !settings.tellsStart()) {
             double run = oldest.handle.work / w.speed();
             expected += settings.progressEvery() > 0 ? settings.progressEvery() : SILENCE_FACTOR * run;
         }
-        if (now - Math.max(w.heardAt, oldest.sentAt) > SILENCE + SILENCE_FACTOR * expected) {
+        if (unheard > SILENCE + SILENCE_FACTOR * expected) {
             if (!w.silent) {
                 w.silent = true;
                 w.failed();
@@ -793,6 +795,7 @@
         /** Which home of the key it is for the submission now placed. */
         int home = Homes.KEPT_HERE;
         private double[] slotFreeAt = new double[1];
+        private double speedNow;
         private double ownWaitNow;
         private double waitNow;
         private double backlogNow;
@@ -840,10 +843,7 @@
 
         void heard() {
             heardAt = now;
-            if (silent) {
-                silent = false;
-                probation = failsOften();
-            }
+            silent = false;
         }
 
         /** Free slots alone: by queues dispatchers herd; running plus free, of two moments, overstates. */
@@ -1027,6 +1027,7 @@
         /** Works out the waits and the backlog once, for the costs and the launch that follow. */
         void figure(double need) {
             double unseen = unseen(MEMORY, model.unseenNow);
+            speedNow = speed();
             ownWaitNow = out.isEmpty() ? 0 : ownWait(need);
             waitNow = ownWaitNow + unseen;
             double sum = 0;
@@ -1098,8 +1099,8 @@
 
         /** Equation 3 of the paper for one worker, and the prices that the settings put on the choice. */
         double admittanceCost(Handle h, double kappa) {
-            double run = h.work / speed() + FETCH_TOLL * fetches.time(home);
-            double ownKappa = kappa * speed() * slots();
+            double run = h.work / speedNow + FETCH_TOLL * fetches.time(home);
+            double ownKappa = kappa * speedNow * slots();
             double added = run * h.slots / slots();
             double value = h.row.value;
             double fine = ownKappa * (2 * backlogNow * added + added * added);
--- a/daemon/src/main/java/wheelroute/decision/Samples.java
+++ b/daemon/src/main/java/wheelroute/decision/Samples.java
@@ -2,14 +2,13 @@
 
 /** The last few samples of a measurement, each a time and two figures. */
 final class Samples {
-    /** What fades over seconds is worked out anew this often: it is asked for at every worker and choice. */
-    static final double LASTING = 0.1;
-
     private final double[] kept;
     private int next;
     private int size;
-    private double fadedMemory;
-    private double fadedAt = Double.NEGATIVE_INFINITY;
+    /** Sums over all, worked out when they are asked for after a change. */
+    private double firsts;
+    private double seconds;
+    private boolean summed = true;
     private double fadedFirst;
     private double fadedSecond;
     private double fadedWeight;
@@ -24,7 +23,7 @@
         kept[3 * next + 2] = second;
         next = (next + 1) % (kept.length / 3);
         size = Math.min(size + 1, kept.length / 3);
-        fadedAt = Double.NEGATIVE_INFINITY;
+        summed = false;
     }
 
     /** As triples, each with its age in place of its time, the oldest first: for another clock. */
@@ -48,7 +47,7 @@
     void clear() {
         next = 0;
         size = 0;
-        fadedAt = Double.NEGATIVE_INFINITY;
+        summed = false;
     }
 
     int size() {
@@ -67,20 +66,26 @@
         return kept[3 * i + 2];
     }
 
-    private double sum(int figure) {
-        double sum = 0;
-        for (int i = 0; i < size; i++) {
-            sum += kept[3 * i + figure];
+    private void sum() {
+        if (!summed) {
+            firsts = 0;
+            seconds = 0;
+            for (int i = 0; i < 3 * size; i += 3) {
+                firsts += kept[i + 1];
+                seconds += kept[i + 2];
+            }
+            summed = true;
         }
-        return sum;
     }
 
     double sumOfFirst() {
-        return sum(1);
+        sum();
+        return firsts;
     }
 
     double sumOfSecond() {
-        return sum(2);
+        sum();
+        return seconds;
     }
 
     /** The second figure's mean, samples weighing less with age, and so many more that add up to excess. */
@@ -97,19 +102,14 @@
 
     /** Works out the sums in which samples weigh less with age: an exponential's start without its price. */
     void fade(double now, double memory) {
-        if (memory == fadedMemory && now - fadedAt <= LASTING) {
-            return;
-        }
-        fadedMemory = memory;
-        fadedAt = now;
         fadedFirst = 0;
         fadedSecond = 0;
         fadedWeight = 0;
-        for (int i = 0; i < size; i++) {
-            double x = (now - time(i)) / memory;
+        for (int i = 0; i < 3 * size; i += 3) {
+            double x = (now - kept[i]) / memory;
             double weight = 1 / (1 + x + x * x / 2);
-            fadedFirst += weight * first(i);
-            fadedSecond += weight * second(i);
+            fadedFirst += weight * kept[i + 1];
+            fadedSecond += weight * kept[i + 2];
             fadedWeight += weight;
         }
     }
--- a/daemon/src/test/java/wheelroute/AdapterTest.java
+++ b/daemon/src/test/java/wheelroute/AdapterTest.java
@@ -21,6 +21,8 @@
             + " request_classes.0.hard_limit_us=5000000 request_classes.0.name=job"
             + " request_classes.0.on_time_us=500000 request_classes.0.worth=2\n";
     private static final String LIST = "SYNC C 1 1\nROW std 1 a - 77 0 active\n";
+    private static final String ORDERED = CONF.replace("\n", " request_classes.0.one_at_a_time=true"
+            + " rules.key_rest_us=200000\n") + LIST;
     private static final String ORDER = "ORDER 9 - 1 job - - 5000000 1 20000\n";
 
     private static String run(String input) throws IOException, WireException {
@@ -50,6 +52,9 @@
                 "SOURCE 3\n" + wake + launched + "DONE\n"},
             {batch("ORDER 9 - 2 job f00d someone 5000000 0 -\nUPDATE_OF 9 0 77 1 0\nUPDATE_OF 9 0 7 2 0.5\n"),
                 "SOURCE 3\n" + wake + launched + "DONE\n"},
+            {batch(ORDERED + "ORDER 9 - 1 job f00d - 5000000 1 20000\nORDER 8 - 1 job f00d - 5000000 1 2\n"
+                + "ORDER 7 - 1 job cafe - 5000000 1 20000\n"),
+                "SOURCE 3\n" + wake + launched + "TRY 7 77 0\nDONE\n"},
             {batch("PROBED 77 408 500 -\nPROBED 78 200 1 x0:1\nMAIL 1 68\nSYNC X - 0\nBELL any thing\n"),
                 "DONE\n"},
             {batch("SYNC D 2 1\nROW std 1 a - 77 0 left\n" + ORDER),
--- a/daemon/src/test/java/wheelroute/ChoiceTest.java
+++ b/daemon/src/test/java/wheelroute/ChoiceTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -68,6 +69,100 @@
         assertEquals(chosen, Set.of(1L, 2L));
     }
 
+    /** A spell of submissions that fail anywhere: no worker is avoided for it, and they cost one launch. */
+    @Test
+    public void errorsThatFollowASubmissionAreNoWorkersFault() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(4);
+        long launchesLate = 0;
+        for (int i = 0; i < 60; i++) {
+            w.did.clear();
+            Policy.Handle handle = w.pass(0.05).take(0.1);
+            boolean bad = i % 2 == 1;
+            for (int launch = 0; !handle.isOver(); launch++) {
+                w.pass(0.02).end(handle, launch, bad ? Outcome.ERRED : Outcome.ANSWERED);
+            }
+            launchesLate += i >= 40 && bad ? w.count("launch") : 0;
+        }
+        assertEquals(launchesLate, 10, "one launch for each that fails anywhere");
+        assertEquals(w.policy.avoided(), 0);
+    }
+
+    /** Its evidence ages: a worker that fails by itself afterwards is found out as ever. */
+    @Test
+    public void aWorkersOwnErrorsAreStillItsFault() {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(4);
+        w.launchesToBad(10, 0.1, worker -> true, Outcome.ERRED);
+        w.pass(11);
+        for (int i = 0; i < 12; i++) {
+            w.serve(0.1, 0.1);
+        }
+        assertTrue(w.launchesToBad(30, 0.1, worker -> worker == 1, Outcome.ERRED) <= 4);
+    }
+
+    /** Two dispatchers that never spoke send a key to one worker, and another when that is busy. */
+    @Test
+    public void aKeysJobsGoWhereWhatTheyNeedIsKept() {
+        Set<Long> homes = new HashSet<>();
+        for (int i = 0; i < 12; i++) {
+            String key = "key" + i;
+            World a = World.of(Effect.IDEMPOTENT, Group.CELL).list(3);
+            World b = World.of(Effect.IDEMPOTENT, Group.CELL).list(3);
+            b.serve(0.1, 0.1);
+            a.take("job", "t", 0.5, a.now + World.LIMIT, key);
+            b.take("job", "t", 0.5, b.now + World.LIMIT, key);
+            final long home = a.lastWorker();
+            assertEquals(b.lastWorker(), home);
+            homes.add(home);
+            a.take("job", "t", 0.5, a.now + World.LIMIT, key);
+            assertNotEquals(a.lastWorker(), home, "a queue costs more than a fetch");
+        }
+        assertTrue(homes.size() > 1, homes.toString());
+    }
+
+    @DataProvider
+    public Object[][] fetchTimes() {
+        // how long a fetch takes, the least and the most of 20 new keys that go to the fastest of three
+        return new Object[][] {{0.0, 13, 20}, {0.3, 0, 11}};
+    }
+
+    /** Busy spells send keys away from home; what that took is learned, and whether the fastest is best. */
+    @Test(dataProvider = "fetchTimes")
+    public void whatAFetchTakesIsLearned(double fetch, int least, int most) {
+        World w = World.of(Effect.IDEMPOTENT, Group.CELL).list(3);
+        Set<String> kept = new HashSet<>();
+        for (int i = 0; i < 200; i++) {
+            List<Policy.Handle> handles = new ArrayList<>();
+            List<Double> runs = new ArrayList<>();
+            for (int job = 0; job < 3; job++) {
+                String key = "key" + (3 * i + job) % 10;
+                w.did.clear();
+                handles.add(w.take("job", "t", 0.1, w.now + World.LIMIT, key));
+                handles.get(job).started(0);
+                boolean fetched = kept.add(key + " " + w.lastWorker()) || job == 2;
+                runs.add((w.lastWorker() == 2 ? 0.05 : 0.1) + (fetched ? fetch : 0));
+            }
+            double passed = 0;
+            for (double until : runs.stream().sorted().toList()) {
+                w.pass(until - passed);
+                passed = until;
+                for (int job = 0; job < 3; job++) {
+                    if (runs.get(job) == until) {
+                        w.end(handles.get(job), 0, Outcome.ANSWERED);
+                    }
+                }
+            }
+        }
+        int fastest = 0;
+        for (int i = 10; i < 30; i++) {
+            w.did.clear();
+            Policy.Handle handle = w.take("job", "t", 0.1, w.now + World.LIMIT, "key" + i);
+            fastest += w.lastWorker() == 2 ? 1 : 0;
+            w.end(handle, 0, Outcome.CANCELLED);
+            handle.gone();
+        }
+        assertTrue(fastest >= least && fastest <= most, "went to the fastest: " + fastest);
+    }
+
     @DataProvider
     public Object[][] oddHints() {
         return new Object[][] {{0.0}, {Double.NaN}, {1e-6}, {3000.0}, {1e9}};
--- a/daemon/src/test/java/wheelroute/ConfigTest.java
+++ b/daemon/src/test/java/wheelroute/ConfigTest.java
@@ -1,6 +1,7 @@
 package wheelroute;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -120,6 +121,10 @@
             {"8c1f30d27a5be964", "twelve", "seed"},
             {"'sockets':512", "'sockets':3", "limits.sockets"},
             {"'settings':{", "'settings':{'balancers':2,'position':2,", "position"},
+            {"'settings':{", "'settings':{'rules':{'key_rest_us':-1},", "rules.key_rest_us"},
+            {"'settings':{", "'settings':{'rules':{'key_rest_us':'long'},", "rules.key_rest_us"},
+            {"'settings':{", "'settings':{'rules':{'gone_is_advice':'often'},", "rules.gone_is_advice"},
+            {"'effect':'free',", "'effect':'free','one_at_a_time':2,", "request_classes.0.one_at_a_time"},
             {"'sockets':512", "'sockets':'few'", "limits.sockets"},
             {"'memory_mb':96", "'memory_mb':0", "limits.memory_mb"},
             {WHOLE, WHOLE + "}", "LB_CONFIG"},
@@ -203,6 +208,13 @@
         assertEquals(config.settings().offerings().get(1).window(), 30.0);
         assertEquals(config.settings().quotas(), Map.of(new Ids.Tenant("t"), 28.0));
         assertTrue(config.settings().listMustBeAsked());
+        assertFalse(config.settings().goneIsAdvice());
+        Config ordered = readToml(TOML.replace("[terms]", "[terms]\nkey_rest = 0.2\ngone_is_advice = true")
+                .replace("window = 30", "window = 30\nin_turn = true"));
+        assertTrue(ordered.settings().goneIsAdvice());
+        assertEquals(ordered.settings().keyRest(), 0.2);
+        assertFalse(ordered.settings().offerings().get(0).inTurn());
+        assertTrue(ordered.settings().offerings().get(1).inTurn());
         assertEquals(WorkerList.decode(config.known()).entries().get(0).id(), "w1");
     }
 
@@ -219,6 +231,9 @@
             {"127.0.0.1:9001", "nowhere", "'workers[0].address' is not host:port: nowhere (line 27)"},
             {"\"w1\"", "\"w\\\"1\"", "'workers[0].name' has a character"},
             {"[limits]", "[limits", "'line 5' is no TOML"},
+            {"idle_limit = 60", "key_rest = -1", "'terms.key_rest' is not from 0"},
+            {"idle_limit = 60", "gone_is_advice = 3", "terms.gone_is_advice"},
+            {"window = 30", "in_turn = \"yes\"", "offerings[1].in_turn"},
             {"127.0.0.4:8081", "here", "'listen' is not host:port"},
             {"quoted = 0.2", "quoted = -1\nvalue2 = 3", "offerings[0].value2 is not known"},
         };
--- a/daemon/src/test/java/wheelroute/OrderTest.java
+++ b/daemon/src/test/java/wheelroute/OrderTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -132,7 +133,7 @@
         assertEquals(w.count("launch 2 "), 1);
     }
 
-    /** The head's client leaves: it is done, but not over before its launch has ended, and that ended by us. */
+    /** A client that leaves is done with, but its key is not free before its launch has ended. */
     @Test
     public void aClientThatLeavesGivesUpItsPlace() {
         World w = world();
@@ -215,7 +216,7 @@
     @Test
     public void randomHistoriesKeepTheRule() {
         for (int seed = 0; seed < 20; seed++) {
-            java.util.Random random = new java.util.Random(seed);
+            Random random = new Random(seed);
             given.effect = Effect.values()[seed % 3];
             World w = world();
             List<Policy.Handle> handles = new ArrayList<>();
--- a/daemon/src/test/java/wheelroute/RulesTest.java
+++ b/daemon/src/test/java/wheelroute/RulesTest.java
@@ -258,6 +258,42 @@
         assertTrue(sent.size() > 10, "and is not shut out: " + sent.size());
     }
 
+    @DataProvider
+    public Object[][] leavings() {
+        return new Object[][] {
+            // whether only a drain binds, what the list says of worker 1 in turn, whether it may be sent to
+            {false, List.of(Readiness.GONE), false},
+            {true, List.of(Readiness.GONE), true},
+            {true, List.of(Readiness.LEAVING), false},
+            {true, List.of(Readiness.LEAVING, Readiness.GONE), false},
+            {true, List.of(Readiness.LEAVING, Readiness.ACTIVE, Readiness.GONE), true},
+            {false, List.of(), false},
+            {true, List.of(), true},
+        };
+    }
+
+    /** Rule 3 where only a drain binds; no entry at all stands for a whole list without it. */
+    @Test(dataProvider = "leavings")
+    public void whoIsGoneMayBeSentToWhereOnlyADrainBinds(boolean advice, List<Readiness> told, boolean may) {
+        World.Given given = new World.Given();
+        given.goneIsAdvice = advice;
+        World w = new World(given).list(1);
+        if (told.isEmpty()) {
+            w.policy.listed(List.of(), true, false);
+        }
+        told.forEach(readiness -> w.change(1, Double.NaN, readiness));
+        Policy.Handle handle = w.pass(1).take(0.1);
+        assertEquals(w.count("launch"), may ? 1 : 0, w.did.toString());
+        if (may) {
+            // The first failure settles it.
+            w.end(handle, 0, Outcome.UNCONNECTED);
+            w.pass(5).take(0.1);
+            assertEquals(w.count("launch"), 1, w.did.toString());
+            w.change(1, Double.NaN, Readiness.ACTIVE).pass(5).take(0.1);
+            assertEquals(w.count("launch"), 2, w.did.toString());
+        }
+    }
+
     @Test
     public void noSecondCopyWhereForbidden() {
         World.Given given = new World.Given();
--- a/daemon/src/test/java/wheelroute/World.java
+++ b/daemon/src/test/java/wheelroute/World.java
@@ -140,7 +140,8 @@
 
     Policy.Handle take(String offering, String tenant, double hint, double outerLimit, String key) {
         return policy.take(new Submission(new Ids.Submission(++lastId), new Ids.Offering(offering),
-                new Ids.Tenant(tenant), outerLimit, hint, 1, 0, false, key == null ? null : new Ids.Key(key)));
+                new Ids.Tenant(tenant), outerLimit, hint, 1, 0, false,
+                key == null ? null : new Ids.Key(key)));
     }
 
     void end(Policy.Handle handle, int launch, Outcome outcome) {
--- a/daemon/src/test/java/wheelroute/net/ServiceHarness.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceHarness.java
@@ -48,6 +48,7 @@
     protected final Stub discovery = new Stub();
     protected double longest = 2;
     protected boolean hasDoor;
+    protected boolean inTurn;
     protected Path meeting;
     protected Config config;
     protected Service service;
@@ -167,6 +168,7 @@
         given.effect = effect;
         given.mustAsk = true;
         given.mayCopy = false;
+        given.inTurn = inTurn;
         Settings settings = given.settings();
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         config = new Config("n0", any, discovery.listen(), hasDoor ? any : null, meeting, sockets,
