--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -152,6 +152,11 @@
             if (message.id() == null || message.id().isEmpty() || !(message.timeout() > 0)) {
                 throw new BadMessage(HttpStatus.BAD_REQUEST_400, "X-Request-ID or X-Timeout is missing");
             }
+            if (hasLeft()) {
+                clients.notTaken();
+                ended();
+                return;
+            }
             Submitters.Taken now = clients.take(message, this);
             hasSubmitted = true;
             if (unanswered) {
@@ -164,6 +169,23 @@
         }
     }
 
+    /**
+     * Guards against launches for nobody: what lay unread, as after a pause of the whole process, may be
+     * from a client that gave up in the meantime, and then its end lies unread behind it.
+     */
+    private boolean hasLeft() {
+        try {
+            ByteBuffer peeked = loop.peekBuffer();
+            int got = ahead == null ? getEndPoint().fill(peeked) : 0;
+            if (got > 0) {
+                read(peeked);
+            }
+            return got < 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     @Override
     public void answer(ClientAnswer answer) {
         taken = null;
--- /dev/null
+++ b/kit/src/main/java/wheelroute/kit/many/Relay.java
@@ -0,0 +1,306 @@
+package wheelroute.kit.many;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wheelroute.net.Link;
+import wheelroute.net.Loop;
+
+/**
+ * One way between two processes, led through this one: a socket that stands for the far end. What it lets
+ * through is set from outside. Loopback cannot leave a handshake unanswered: on a way that is cut a
+ * connection still comes up here, and stays as silent as the way. What a sender had under way when it closed
+ * the connection is lost with it while the way is cut; a real network's kernel may send it again after that.
+ */
+public final class Relay implements Loop.Peer {
+    /** Bytes held for one direction before the sender has to wait, as a socket's buffers would make it. */
+    private static final int MOST_HELD = 1 << 20;
+    /** A port that was ours a moment ago is free again soon. */
+    private static final double LISTEN_AGAIN = 0.05;
+    private static final Logger LOG = LoggerFactory.getLogger(Relay.class);
+
+    private final Loop loop;
+    private final Supplier<InetSocketAddress> target;
+    private final Set<Pair> pairs = new HashSet<>();
+    private final InetSocketAddress address;
+    private ServerSocketChannel server;
+    private Passage passage = Passage.OPEN;
+
+    /** The target is asked for anew at each connection: a process may come back elsewhere. */
+    public Relay(Loop loop, Supplier<InetSocketAddress> target) throws IOException {
+        this.loop = loop;
+        this.target = target;
+        server = loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), this);
+        address = (InetSocketAddress) server.getLocalAddress();
+    }
+
+    /** Where the far end is reached, through us. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** From the loop's thread only. */
+    public void set(Passage now) {
+        passage = now;
+        if (now.refuses()) {
+            unlisten();
+            new HashSet<>(pairs).forEach(Pair::reset);
+        } else {
+            listen();
+            new HashSet<>(pairs).forEach(pair -> {
+                pair.forth.flush();
+                pair.back.flush();
+            });
+        }
+    }
+
+    private void listen() {
+        try {
+            if (server == null) {
+                server = loop.listen(address, this);
+            }
+        } catch (IOException e) {
+            loop.later(LISTEN_AGAIN, () -> {
+                if (!passage.refuses()) {
+                    listen();
+                }
+            });
+        }
+    }
+
+    private void unlisten() {
+        try {
+            if (server != null) {
+                loop.unlisten(server);
+                server = null;
+            }
+        } catch (IOException e) {
+            LOG.warn("a relay did not stop listening: {}", e.toString());
+        }
+    }
+
+    @Override
+    public Connection opened(EndPoint endPoint) {
+        Pair pair = new Pair(endPoint);
+        pairs.add(pair);
+        return pair.near;
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+        LOG.warn("a relay could not accept: {}", cause.toString());
+    }
+
+    /** A connection from the dispatcher, and ours to the far end in its place. */
+    private final class Pair implements Loop.Peer {
+        final End near;
+        final Stream forth = new Stream(true);
+        final Stream back = new Stream(false);
+        private End far;
+        private boolean over;
+
+        Pair(EndPoint endPoint) {
+            near = new End(endPoint, this, forth);
+            back.to = near;
+            loop.post(() -> loop.connect(target.get(), this));
+        }
+
+        @Override
+        public Connection opened(EndPoint endPoint) {
+            far = new End(endPoint, this, back);
+            loop.post(() -> {
+                if (over) {
+                    far.close();
+                } else {
+                    forth.to = far;
+                    forth.flush();
+                }
+            });
+            return far;
+        }
+
+        /** Nobody is there: the dispatcher finds out as it would without us, if a moment later. */
+        @Override
+        public void failed(Throwable cause) {
+            reset();
+        }
+
+        void reset() {
+            if (!over) {
+                over = true;
+                pairs.remove(this);
+                near.reset();
+                if (far != null) {
+                    far.reset();
+                }
+            }
+        }
+
+        void ended() {
+            if (!over && forth.isOver() && back.isOver()) {
+                over = true;
+                pairs.remove(this);
+                near.close();
+                far.close();
+            }
+        }
+    }
+
+    /** One direction: what has come and is not yet out, in its order. */
+    private final class Stream {
+        private final boolean isForth;
+        private final ArrayDeque<Piece> held = new ArrayDeque<>();
+        private End to;
+        private int bytes;
+        private boolean writing;
+        private boolean ended;
+        private boolean endTold;
+        private Loop.Timer timer;
+
+        Stream(boolean isForth) {
+            this.isForth = isForth;
+        }
+
+        boolean isFull() {
+            return bytes > MOST_HELD;
+        }
+
+        boolean isOver() {
+            return endTold;
+        }
+
+        private boolean isOpen() {
+            return isForth ? passage.forth() : passage.back();
+        }
+
+        void add(ByteBuffer in, End from) {
+            ByteBuffer copy = ByteBuffer.allocate(in.remaining());
+            copy.put(in).flip();
+            bytes += copy.remaining();
+            held.addLast(new Piece(copy, loop.now() + passage.delay(), from));
+            flush();
+        }
+
+        void end(End from) {
+            ended = true;
+            if (!isOpen()) {
+                held.clear();
+                bytes = 0;
+            }
+            held.addLast(new Piece(ByteBuffer.allocate(0), loop.now() + passage.delay(), from));
+            flush();
+        }
+
+        void flush() {
+            if (writing || !isOpen() || to == null || held.isEmpty()) {
+                return;
+            }
+            Piece first = held.peekFirst();
+            double wait = first.due - loop.now();
+            if (wait > 0) {
+                if (timer == null) {
+                    timer = loop.later(wait, () -> {
+                        timer = null;
+                        flush();
+                    });
+                }
+                return;
+            }
+            held.pollFirst();
+            if (ended && held.isEmpty()) {
+                endTold = true;
+                to.getEndPoint().shutdownOutput();
+                first.from.pair.ended();
+                return;
+            }
+            writing = true;
+            to.getEndPoint().write(Callback.from(() -> loop.post(() -> {
+                writing = false;
+                bytes = Math.max(0, bytes - first.size);
+                first.from.goOn();
+                flush();
+            }), cause -> loop.post(first.from.pair::reset)), first.buffer);
+        }
+    }
+
+    /** Bytes that came together. */
+    private static final class Piece {
+        final ByteBuffer buffer;
+        final int size;
+        final double due;
+        final End from;
+
+        Piece(ByteBuffer buffer, double due, End from) {
+            this.buffer = buffer;
+            this.size = buffer.remaining();
+            this.due = due;
+            this.from = from;
+        }
+    }
+
+    /** One end of a pair. */
+    private final class End extends Link {
+        private final Pair pair;
+        private final Stream out;
+        private boolean waits;
+
+        End(EndPoint endPoint, Pair pair, Stream out) {
+            super(endPoint, Relay.this.loop);
+            this.pair = pair;
+            this.out = out;
+        }
+
+        @Override
+        protected boolean wantsMore() {
+            waits = out.isFull();
+            return !waits;
+        }
+
+        void goOn() {
+            if (waits && !out.isFull() && getEndPoint().isOpen()) {
+                waits = false;
+                onFillable();
+            }
+        }
+
+        @Override
+        protected void received(ByteBuffer in) {
+            out.add(in, this);
+        }
+
+        @Override
+        protected void atEnd() {
+            out.end(this);
+        }
+
+        @Override
+        protected void broke(Throwable cause) {
+            pair.reset();
+        }
+
+        /** So that the other side sees a reset, not an end. */
+        void reset() {
+            try {
+                if (getEndPoint().getTransport() instanceof SocketChannel channel && channel.isOpen()) {
+                    channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+                }
+            } catch (IOException e) {
+                LOG.debug("a connection that is gone already", e);
+            }
+            close();
+        }
+    }
+}
--- a/kit/src/main/java/wheelroute/kit/real/DaemonProcess.java
+++ b/kit/src/main/java/wheelroute/kit/real/DaemonProcess.java
@@ -179,6 +179,13 @@
         }
     }
 
+    /** Its process stands still, or goes on: by the shell's own word, as the JDK has none for it. */
+    void pause(boolean begins) throws IOException {
+        if (process != null && process.isAlive()) {
+            new ProcessBuilder("sh", "-c", "kill -" + (begins ? "STOP " : "CONT ") + process.pid()).start();
+        }
+    }
+
     /** Waits for its end, and kills it if that takes too long. */
     void await() {
         if (process == null) {
--- a/kit/src/main/java/wheelroute/kit/real/RealRun.java
+++ b/kit/src/main/java/wheelroute/kit/real/RealRun.java
@@ -6,9 +6,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +21,10 @@
 import org.HdrHistogram.Histogram;
 import wheelroute.config.ConfigException;
 import wheelroute.kit.audit.Auditor;
+import wheelroute.kit.many.Harm;
+import wheelroute.kit.many.Links;
+import wheelroute.kit.many.Relay;
+import wheelroute.kit.many.Way;
 import wheelroute.kit.report.Recorder;
 import wheelroute.kit.report.Report;
 import wheelroute.kit.scenario.DaemonSettings;
@@ -65,6 +72,10 @@
     private World world;
     private Clients clients;
     private List<StandInList> lists;
+    /** Where ways can be harmed all of them lead through relays, else none does. */
+    private final Map<Way, Relay> relays = new HashMap<>();
+    private final Links links = new Links((way, passage) -> relays.get(way).set(passage));
+    private final Set<Integer> paused = new HashSet<>();
     private volatile boolean over;
     private volatile String failure;
 
@@ -134,8 +145,19 @@
                 workers.add(new StandInWorker(loop, model, auditor, anyPort()));
             }
             lists = new ArrayList<>();
+            boolean relayed = scenario.faults().stream().anyMatch(f -> f.kind().isAboutWays());
             for (int i = 0; i < scenario.dispatchers(); i++) {
-                lists.add(new StandInList(loop, i, world.registry, auditor, scenario, workers, anyPort()));
+                int dispatcher = i;
+                for (int j = 0; relayed && j < workers.size(); j++) {
+                    relays.put(new Way(i, j), new Relay(loop, workers.get(j)::address));
+                }
+                // Each is told addresses of its own: no message has to be written anew on the way.
+                lists.add(new StandInList(loop, i, world.registry, auditor, scenario, n -> relayed
+                        ? relays.get(new Way(dispatcher, n)).address() : workers.get(n).address(),
+                        anyPort()));
+                if (relayed) {
+                    relays.put(Way.toList(i), new Relay(loop, lists.get(i)::address));
+                }
             }
             return null;
         });
@@ -145,7 +167,9 @@
             Path config = folder.resolve("n" + i + ".json");
             Files.writeString(config, DaemonSettings.file("n" + i, chance.key(Chance.Of.BRAIN, i, 0),
                     MEMORY_MB, SOCKETS, DaemonSettings.pairsOf(i, pairs)));
-            daemons.add(new DaemonProcess("n" + i, config, lists.get(i).address(), jar, HEAP_MB));
+            Relay list = relays.get(Way.toList(i));
+            daemons.add(new DaemonProcess("n" + i, config, list == null ? lists.get(i).address()
+                    : list.address(), jar, HEAP_MB));
             pools.add(null);
             CompletableFuture<Void> up = new CompletableFuture<>();
             ready[i] = up;
@@ -242,6 +266,7 @@
     }
 
     private void close() {
+        paused.forEach(i -> signal(i, false));
         // A dispatcher that is alone serves for as long as its clients stay.
         loop.post(() -> pools.stream().filter(pool -> pool != null).forEach(ClientPool::closeIdle));
         daemons.forEach(DaemonProcess::end);
@@ -274,7 +299,51 @@
         }
     }
 
+    private void signal(int dispatcher, boolean stop) {
+        try {
+            daemons.get(dispatcher).pause(stop);
+        } catch (IOException e) {
+            failure = "dispatcher n" + dispatcher + " cannot be stopped or let go on: " + e.getMessage();
+        }
+    }
+
     private final class Faults implements World.Dispatchers {
+        @Override
+        public void pause(int dispatcher, boolean begins) {
+            if (begins) {
+                paused.add(dispatcher);
+                auditor.dispatcherPaused(dispatcher);
+                signal(dispatcher, true);
+            } else if (paused.remove(dispatcher)) {
+                signal(dispatcher, false);
+                // The signal takes a moment, and what the process then reads another one.
+                loop.later(SLACK, () -> auditor.dispatcherWoke(dispatcher));
+            }
+        }
+
+        @Override
+        public void harm(Scenario.Fault fault, int dispatcher, boolean begins) {
+            List<Way> ways = new ArrayList<>();
+            if (fault.kind() == Scenario.Kind.LIST_CUT) {
+                ways.add(Way.toList(dispatcher));
+            } else {
+                world.workers.stream().filter(w -> fault.group().isEmpty()
+                        || w.group.name().equals(fault.group())).forEach(w -> ways.add(new Way(dispatcher,
+                        w.number)));
+            }
+            Harm harm = switch (fault.kind()) {
+                case LINK_REFUSE -> Harm.REFUSE;
+                case LINK_ONE_WAY -> Harm.ONE_WAY;
+                case LINK_SLOW -> Harm.SLOW;
+                default -> Harm.CUT;
+            };
+            if (begins) {
+                links.begin(harm, fault.level(), ways);
+            } else {
+                links.heal(harm, fault.level(), ways);
+            }
+        }
+
         @Override
         public void kill(int dispatcher) {
             listens[dispatcher] = false;
--- a/kit/src/main/java/wheelroute/kit/real/StandInList.java
+++ b/kit/src/main/java/wheelroute/kit/real/StandInList.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.eclipse.jetty.io.Connection;
@@ -31,12 +32,12 @@
     private final Registry registry;
     private final Auditor auditor;
     private final Scenario scenario;
-    private final List<StandInWorker> addresses;
+    private final IntFunction<InetSocketAddress> addresses;
     private final Set<Line> lines = new HashSet<>();
     private final InetSocketAddress address;
 
     StandInList(Loop loop, int dispatcher, Registry registry, Auditor auditor, Scenario scenario,
-            List<StandInWorker> addresses, InetSocketAddress wanted) throws IOException {
+            IntFunction<InetSocketAddress> addresses, InetSocketAddress wanted) throws IOException {
         this.loop = loop;
         this.dispatcher = dispatcher;
         this.registry = registry;
@@ -83,7 +84,7 @@
             if (whole && entry.state() == Registry.State.GONE) {
                 continue;
             }
-            InetSocketAddress at = addresses.get(entry.worker().number).address();
+            InetSocketAddress at = addresses.apply(entry.worker().number);
             long started = Double.isNaN(entry.startedAt()) ? 0 : Math.round(entry.startedAt() * MILLIS);
             json.append(comma).append("{\"id\":\"").append(entry.worker().name).append("\",\"addr\":\"")
                     .append(at.getAddress().getHostAddress()).append(':').append(at.getPort())
--- a/kit/src/main/java/wheelroute/kit/real/StandInRun.java
+++ b/kit/src/main/java/wheelroute/kit/real/StandInRun.java
@@ -63,7 +63,8 @@
             workers.add(new StandInWorker(loop, world.workers.get(i), auditor,
                     local(firstWorker == 0 ? 0 : firstWorker + i)));
         }
-        StandInList list = new StandInList(loop, 0, world.registry, auditor, scenario, workers,
+        StandInList list = new StandInList(loop, 0, world.registry, auditor, scenario,
+                n -> workers.get(n).address(),
                 local(discoveryPort));
         world.begin(new World.Dispatchers() {
             @Override
--- a/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
+++ b/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
@@ -117,6 +117,20 @@
                 p.answer(Answer.BOUNCED);
                 p.answer(Answer.SCRAPPED);
             }),
+            rogue("stands still, and launches too late as it goes on", Rule.ONE_ANSWER, "free", "", p -> {
+                p.auditor.dispatcherPaused(0);
+                p.pass(2.3);
+                p.auditor.gaveUp(p.submitted, false);
+                p.auditor.dispatcherWoke(0);
+                p.launch(NEAR);
+            }),
+            rogue("goes on, and learns nothing", Rule.NO_LATE_LAUNCH, "free", "", p -> {
+                p.auditor.dispatcherPaused(0);
+                p.auditor.told(0, NEAR, Registry.State.DRAINING);
+                p.auditor.dispatcherWoke(0);
+                p.pass(2.2);
+                p.launch(NEAR);
+            }),
             rogue("never answers", Rule.ONE_ANSWER, "free", "", p -> {
                 p.pass(2.001);
                 p.auditor.gaveUp(p.submitted, false);
@@ -295,6 +309,22 @@
                 p.auditor.cutOff(p.submitted);
                 p.pass(3);
             })},
+            {rogue("stands still past the limit of what it holds", null, "once", "", p -> {
+                p.auditor.dispatcherPaused(0);
+                p.pass(3);
+                p.auditor.gaveUp(p.submitted, false);
+                p.auditor.dispatcherWoke(0);
+            })},
+            {rogue("launches at a worker that drained while it stood still, before it can know", null, "free",
+                    "", p -> {
+                        p.auditor.dispatcherPaused(0);
+                        p.auditor.told(0, NEAR, Registry.State.DRAINING);
+                        p.pass(1);
+                        p.auditor.dispatcherWoke(0);
+                        p.launch(NEAR);
+                        p.pass(0.2);
+                        p.answer(Answer.FULFILLED);
+                    })},
             {rogue("has no room for one more connection", null, "free", "", p -> {
                 p.auditor.refused(p.submitted);
                 p.pass(3);
--- /dev/null
+++ b/kit/src/test/java/wheelroute/kit/many/RelayTest.java
@@ -0,0 +1,226 @@
+package wheelroute.kit.many;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.net.Clock;
+import wheelroute.net.Loop;
+
+/** A relay on loopback sockets, between a client and a far end that sends back what it hears. */
+public class RelayTest {
+    private static final int PATIENCE = 10_000;
+    /** Long enough that what passes would have come: a read that times out is what is asserted. */
+    private static final int SILENCE = 300;
+    private static final Passage SHUT = new Passage(false, false, false, 0);
+    private static final Passage ONE_WAY = new Passage(false, true, false, 0);
+    private static final Passage REFUSES = new Passage(true, false, false, 0);
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Loop loop;
+    private Relay relay;
+    private ServerSocket far;
+    private volatile long heard;
+
+    @BeforeMethod
+    public void begin() throws Exception {
+        heard = 0;
+        loop = new Loop(new Clock(), 1);
+        loop.start();
+        far = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        open.add(far);
+        Thread echo = new Thread(() -> {
+            while (!far.isClosed()) {
+                try {
+                    Socket socket = far.accept();
+                    open.add(socket);
+                    Thread each = new Thread(() -> echo(socket));
+                    each.setDaemon(true);
+                    each.start();
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        });
+        echo.setDaemon(true);
+        echo.start();
+        relay = onLoop(() -> new Relay(loop, () -> (InetSocketAddress) far.getLocalSocketAddress()));
+    }
+
+    private void echo(Socket socket) {
+        try (socket) {
+            byte[] bytes = new byte[8192];
+            for (int got = socket.getInputStream().read(bytes); got >= 0;
+                    got = socket.getInputStream().read(bytes)) {
+                heard += got;
+                socket.getOutputStream().write(bytes, 0, got);
+            }
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            // Reset on purpose, or the case is over.
+            heard = -1;
+        }
+    }
+
+    private interface Step<T> {
+        T run() throws Exception;
+    }
+
+    private <T> T onLoop(Step<T> step) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.post(() -> {
+            try {
+                done.complete(step.run());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(PATIENCE, TimeUnit.MILLISECONDS);
+    }
+
+    private void set(Passage passage) throws Exception {
+        onLoop(() -> {
+            relay.set(passage);
+            return null;
+        });
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(relay.address().getAddress(), relay.address().getPort());
+        open.add(socket);
+        socket.setSoTimeout(PATIENCE);
+        return socket;
+    }
+
+    private static void assertEchoes(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes());
+        assertEquals(new String(socket.getInputStream().readNBytes(text.length())), text);
+    }
+
+    @DataProvider
+    public Object[][] shut() {
+        return new Object[][] {
+            // what the way lets through, whether the far end still hears
+            {SHUT, false},
+            {ONE_WAY, true},
+        };
+    }
+
+    /** Nothing comes back while it is harmed; healed, all of it comes, in its order. */
+    @Test(dataProvider = "shut", timeOut = 2 * PATIENCE)
+    public void whatIsHeldBackGoesOnWhenHealed(Passage passage, boolean hears) throws Exception {
+        Socket socket = connect();
+        assertEchoes(socket, "before");
+        set(passage);
+        socket.getOutputStream().write("first ".getBytes());
+        socket.getOutputStream().write("second".getBytes());
+        socket.setSoTimeout(SILENCE);
+        expectThrows(SocketTimeoutException.class, () -> socket.getInputStream().read());
+        assertEquals(heard, hears ? 18 : 6);
+        set(Passage.OPEN);
+        socket.setSoTimeout(PATIENCE);
+        assertEquals(new String(socket.getInputStream().readNBytes(12)), "first second");
+    }
+
+    @Test(timeOut = 2 * PATIENCE)
+    public void aRefusedWayResetsAndRefusesAndComesBack() throws Exception {
+        Socket socket = connect();
+        assertEchoes(socket, "before");
+        set(REFUSES);
+        expectThrows(IOException.class, () -> {
+            if (socket.getInputStream().read() < 0) {
+                throw new IOException("an end, where a reset or an end may come");
+            }
+        });
+        expectThrows(IOException.class, this::connect);
+        set(Passage.OPEN);
+        assertEchoes(connect(), "after");
+    }
+
+    @Test(timeOut = 2 * PATIENCE)
+    public void aSlowWayIsSlowBothWays() throws Exception {
+        Socket socket = connect();
+        assertEchoes(socket, "before");
+        set(new Passage(false, true, true, 0.1));
+        long from = System.nanoTime();
+        assertEchoes(socket, "slow");
+        assertTrue(System.nanoTime() - from >= 200_000_000L, "came too soon");
+    }
+
+    /** More than is held for one direction: the sender waits, and nothing is lost or out of order. */
+    @Test(timeOut = 4 * PATIENCE)
+    public void muchMorePassesThanIsHeld() throws Exception {
+        Socket socket = connect();
+        byte[] all = new byte[6 << 20];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = (byte) (i * 31 + i / 977);
+        }
+        Thread writer = new Thread(() -> {
+            try {
+                socket.getOutputStream().write(all);
+                socket.shutdownOutput();
+            } catch (IOException e) {
+                heard = -1;
+            }
+        });
+        writer.setDaemon(true);
+        writer.start();
+        InputStream in = socket.getInputStream();
+        assertTrue(Arrays.equals(in.readNBytes(all.length), all), "what came back is not what was sent");
+        assertEquals(in.read(), -1, "and then its end");
+    }
+
+    /** A sender that closes on a cut way takes with it what had not arrived. */
+    @Test(timeOut = 2 * PATIENCE)
+    public void whatASenderClosedWhileCutNeverArrives() throws Exception {
+        Socket socket = connect();
+        assertEchoes(socket, "before");
+        set(SHUT);
+        socket.getOutputStream().write("lost".getBytes());
+        socket.close();
+        Socket other = connect();
+        other.getOutputStream().write("held".getBytes());
+        other.setSoTimeout(SILENCE);
+        expectThrows(SocketTimeoutException.class, () -> other.getInputStream().read());
+        set(Passage.OPEN);
+        other.setSoTimeout(PATIENCE);
+        assertEquals(new String(other.getInputStream().readNBytes(4)), "held");
+        assertEquals(heard, 10);
+    }
+
+    @Test(timeOut = 2 * PATIENCE)
+    public void aFarEndThatIsNotThereShowsAsAnEnd() throws Exception {
+        far.close();
+        Socket socket = connect();
+        expectThrows(IOException.class, () -> {
+            if (socket.getInputStream().read() < 0) {
+                throw new IOException("an end, where a reset or an end may come");
+            }
+        });
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void end() throws Exception {
+        for (AutoCloseable one : new ArrayList<>(open)) {
+            one.close();
+        }
+        open.clear();
+        loop.stop();
+    }
+}
--- /dev/null
+++ b/kit/src/test/java/wheelroute/kit/real/ManyTest.java
@@ -0,0 +1,49 @@
+package wheelroute.kit.real;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.kit.Small;
+import wheelroute.kit.report.Report;
+import wheelroute.kit.report.TableWriter;
+
+/** Five processes of the program at once, and each kind of fault between them. */
+public class ManyTest {
+    private static final int PROCESSES = 5;
+
+    private static String fault(String kind, double at, double length, String more) {
+        return "[[faults]]\nkind = \"" + kind + "\"\nat = " + at + "\nfor = " + length + "\n" + more + "\n";
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {
+            {fault("dispatcher-kill", 0.5, 1.5, "share = 0.4\nwithin = 1")
+                    + fault("dispatcher-restart", 2.5, 2, "share = 0.2\npick = 1")},
+            {fault("dispatcher-pause", 0.5, 0.4, "share = 0.6\nwithin = 1")
+                    + fault("dispatcher-pause", 2, 2.5, "share = 0.2\npick = 1")
+                    + fault("drain", 1.8, 2, "group = \"far\"\nshare = 0.5")},
+            {fault("link-cut", 0.5, 1.5, "group = \"near\"\nshare = 0.4")
+                    + fault("link-refuse", 1, 1.5, "group = \"far\"\nshare = 0.4\npick = 1")
+                    + fault("list-cut", 2, 2, "share = 0.6\npick = 2")},
+            {fault("link-one-way", 0.5, 1.5, "group = \"near\"\nshare = 0.4")
+                    + fault("link-slow", 1, 3, "share = 0.4\nlevel = 0.05\npick = 1")
+                    + fault("crash", 2.5, 1, "group = \"far\"\nshare = 0.5")},
+        };
+    }
+
+    /** Every ask ends in one way and no rule breaks, over all processes together. */
+    @Test(dataProvider = "faults")
+    public void allTogetherKeepTheRules(String faults) throws Exception {
+        Report report = RealRun.play(Small.scenario(faults, PROCESSES,
+                "clocks = [\"real\"]"), 5, 5, Map.of(), "as-built", null, () -> false, text -> { });
+        Report.Row all = report.total();
+        assertEquals(all.inTime() + all.late() + all.bounced() + all.scrapped() + all.unanswered()
+                + all.left(), all.asked());
+        assertTrue(report.keepsRules(), TableWriter.text(report));
+        assertTrue(all.inTime() > all.asked() / 3, TableWriter.text(report));
+    }
+}
