--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -900,13 +900,13 @@
                         } else {
                             // As if warm: speed() scales by warmth, and coldness must not count twice.
                             seen.runs.add(now, launch.handle.work, run * warmth(from));
-                        }
-                        if (launch.home == Homes.KEPT_HERE && warmth(from) >= 1) {
-                            // Guards against a release that makes its whole model look slow.
-                            model.runs.add(now, launch.handle.work, run);
-                            model.fit();
-                            launch.handle.row.hints.learn(launch.handle.submission.hint(),
-                                    run * speed());
+                            if (warmth(from) >= 1) {
+                                // Guards against a release that makes its whole model look slow.
+                                model.runs.add(now, launch.handle.work, run);
+                                model.fit();
+                                launch.handle.row.hints.learn(launch.handle.submission.hint(),
+                                        run * speed());
+                            }
                         }
                     }
                     if (++goodTrials >= GOOD_TRIALS) {
--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -175,12 +175,7 @@
      */
     private boolean hasLeft() {
         try {
-            ByteBuffer peeked = loop.peekBuffer();
-            int got = ahead == null ? getEndPoint().fill(peeked) : 0;
-            if (got > 0) {
-                read(peeked);
-            }
-            return got < 0;
+            return ahead == null && peek() < 0;
         } catch (IOException e) {
             return true;
         }
@@ -241,13 +236,20 @@
         }
     }
 
+    /** Reads a byte, if there is one; under 0 at the client's end. */
+    private int peek() throws IOException {
+        ByteBuffer peeked = loop.peekBuffer();
+        int got = getEndPoint().fill(peeked);
+        if (got > 0) {
+            read(peeked);
+        }
+        return got;
+    }
+
     /** Reads what there is, if there is something. */
     private boolean hasUnread() {
         try {
-            ByteBuffer peeked = loop.peekBuffer();
-            if (getEndPoint().fill(peeked) > 0) {
-                read(peeked);
-            }
+            peek();
             return begun || waiting;
         } catch (IOException e) {
             return false;
--- a/daemon/src/test/java/wheelroute/net/OrderedServiceTest.java
+++ b/daemon/src/test/java/wheelroute/net/OrderedServiceTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import wheelroute.decision.Effect;
@@ -30,7 +31,7 @@
     }
 
     private String nextId() throws InterruptedException {
-        return workers.heard.poll(PATIENCE, java.util.concurrent.TimeUnit.MILLISECONDS)
+        return workers.heard.poll(PATIENCE, TimeUnit.MILLISECONDS)
                 .replaceAll("(?s).*X-Request-ID: (\\w+).*", "$1");
     }
 
--- a/kit/src/main/java/wheelroute/kit/audit/Auditor.java
+++ b/kit/src/main/java/wheelroute/kit/audit/Auditor.java
@@ -50,8 +50,8 @@
     private final Map<Long, Double> toldLeaving = new HashMap<>();
     private final Map<Integer, Set<Integer>> effects = new HashMap<>();
     private final Set<Integer> deadDispatchers = new HashSet<>();
-    /** Those whose processes stand still: what they hold cannot be answered, and is no fault of theirs. */
-    private final Set<Integer> pausedDispatchers = new HashSet<>();
+    /** Since when processes stand still: what they hold cannot be answered, and is no fault of theirs. */
+    private final Map<Integer, Double> pausedSince = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
     private double start;
@@ -120,7 +120,7 @@
     public void sent(Submitted submitted) {
         Record record = new Record(submitted);
         record.note(timeline.now(), "sent to dispatcher", submitted.dispatcher());
-        record.excused = pausedDispatchers.contains(submitted.dispatcher());
+        record.excused = pausedSince.containsKey(submitted.dispatcher());
         records.put(submitted.key(), record);
         aging.addLast(record);
         forgetOld();
@@ -189,7 +189,7 @@
     /** What it held is lost with it, and no fault of the rules; what it launched still counts. */
     public void dispatcherDied(int dispatcher) {
         deadDispatchers.add(dispatcher);
-        pausedDispatchers.remove(dispatcher);
+        pausedSince.remove(dispatcher);
         excuse(dispatcher);
         toldLeaving.keySet().removeIf(key -> key >> Integer.SIZE == dispatcher);
     }
@@ -208,15 +208,16 @@
 
     /** What it holds may go without an answer from here; whatever it launches still counts, also later. */
     public void dispatcherPaused(int dispatcher) {
-        pausedDispatchers.add(dispatcher);
+        pausedSince.put(dispatcher, timeline.now());
         excuse(dispatcher);
     }
 
     /** What it was told while it stood still it can have heard only now. */
     public void dispatcherWoke(int dispatcher) {
-        if (pausedDispatchers.remove(dispatcher)) {
+        Double since = pausedSince.remove(dispatcher);
+        if (since != null) {
             double now = timeline.now();
-            toldLeaving.replaceAll((key, at) -> key >> Integer.SIZE == dispatcher ? now : at);
+            toldLeaving.replaceAll((key, at) -> key >> Integer.SIZE == dispatcher && at >= since ? now : at);
         }
     }
 
--- a/kit/src/main/java/wheelroute/kit/many/Relay.java
+++ b/kit/src/main/java/wheelroute/kit/many/Relay.java
@@ -197,8 +197,8 @@
         void end(End from) {
             ended = true;
             if (!isOpen()) {
+                held.forEach(piece -> bytes -= piece.size);
                 held.clear();
-                bytes = 0;
             }
             held.addLast(new Piece(ByteBuffer.allocate(0), loop.now() + passage.delay(), from));
             flush();
@@ -229,7 +229,7 @@
             writing = true;
             to.getEndPoint().write(Callback.from(() -> loop.post(() -> {
                 writing = false;
-                bytes = Math.max(0, bytes - first.size);
+                bytes -= first.size;
                 first.from.goOn();
                 flush();
             }), cause -> loop.post(first.from.pair::reset)), first.buffer);
--- a/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
+++ b/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
@@ -124,6 +124,14 @@
                 p.auditor.dispatcherWoke(0);
                 p.launch(NEAR);
             }),
+            rogue("stands still, and forgets what it was told before", Rule.NO_LATE_LAUNCH, "free", "", p -> {
+                p.auditor.told(0, NEAR, Registry.State.DRAINING);
+                p.pass(1.5);
+                p.auditor.dispatcherPaused(0);
+                p.pass(0.7);
+                p.auditor.dispatcherWoke(0);
+                p.launch(NEAR);
+            }),
             rogue("goes on, and learns nothing", Rule.NO_LATE_LAUNCH, "free", "", p -> {
                 p.auditor.dispatcherPaused(0);
                 p.auditor.told(0, NEAR, Registry.State.DRAINING);
