Who makes room in a crowd of clients is decided by a module without I/O

Need: strangers who connect and never finish a message hold the places of true clients. Ruled out: the workers (idle), the list (up), the restarts (the loss begins with the crowd, 4 s before the first). At fault: Clients.opened, which let only done, idle and wholly silent connections make room; one with half a message kept its place for the 2.6 s of its patience, so that a hundred such a second fill 229 places for good.

Change: wheelroute.limits.Places, fed with the stages of connections, decides: after those it took before now also the longest silent one with a begun message, which is told 503 (a bounce: nothing of it was taken). What lies unread is read first, and a crowd counts half messages too.

--- /dev/null
+++ b/daemon/src/main/java/wheelroute/limits/Places.java
@@ -0,0 +1,117 @@
+package wheelroute.limits;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Clients' connections and the places for them: who makes room when one more comes than there are places. A
+ * crowd that connects and never finishes a message must not take them from those who do; and of true clients
+ * some are slow to write, some only look, some keep a connection for later.
+ */
+public final class Places<C> {
+    /** How far a connection is. Within each, the first is the one about which nothing happened for longest. */
+    public enum Stage {
+        /** Has said nothing yet: its first message may be on the way, or it is a stranger. */
+        UNKNOWN,
+        /** A message has begun. */
+        BEGUN,
+        /** A whole message is being worked on: it keeps its place whatever comes. */
+        HELD,
+        /** Between two messages, of which none was a submission. */
+        VISITOR,
+        /** Between two messages, after a submission: it is kept to be used again. */
+        KNOWN,
+        /** Its last answer is out. */
+        LEAVING
+    }
+
+    /** A message comes at once, or goes on at once, from most; who is silent for less is not yet silent. */
+    public static final double SILENT = 0.15;
+    /** Over this part of the places that has not spoken yet is a crowd of strangers. */
+    private static final double CROWD_PART = 0.5;
+
+    private final Map<Stage, Map<C, Double>> stages = new EnumMap<>(Stage.class);
+    private final Map<C, Stage> now = new HashMap<>();
+    private int most;
+
+    public Places(int most) {
+        this.most = most;
+        for (Stage stage : Stage.values()) {
+            stages.put(stage, new LinkedHashMap<>());
+        }
+    }
+
+    /** From here on there are so many. */
+    public void most(int newMost) {
+        most = newMost;
+    }
+
+    public int most() {
+        return most;
+    }
+
+    public int taken() {
+        return now.size();
+    }
+
+    /** Those that are at this stage, the one that has been so for longest first. */
+    public List<C> at(Stage stage) {
+        return new ArrayList<>(stages.get(stage).keySet());
+    }
+
+    /** It is there, or has come so far, or goes on saying what it has begun. */
+    public void is(C connection, Stage stage, double time) {
+        Stage before = now.put(connection, stage);
+        if (before != null) {
+            stages.get(before).remove(connection);
+        }
+        stages.get(stage).put(connection, time);
+    }
+
+    /** Its place is free; an unknown connection has none. */
+    public void closed(C connection) {
+        Stage last = now.remove(connection);
+        if (last != null) {
+            stages.get(last).remove(connection);
+        }
+    }
+
+    /**
+     * Before one more comes: who makes room for it; nobody if there is a place, or if all that are here have
+     * more of a claim than whoever comes.
+     *
+     * @param hasUnread whether something of it has come that is not read yet: then it is not silent, and
+     *     reading it may change its stage
+     */
+    public Optional<C> makesRoom(double time, Predicate<C> hasUnread) {
+        if (taken() < most) {
+            return Optional.empty();
+        }
+        for (Stage stage : List.of(Stage.LEAVING, Stage.VISITOR)) {
+            Optional<C> first = at(stage).stream().findFirst();
+            if (first.isPresent()) {
+                return first;
+            }
+        }
+        // Those who have said nothing before those who are slow to say it: a slow one has shown that it will.
+        for (Stage stage : List.of(Stage.UNKNOWN, Stage.BEGUN)) {
+            for (C connection : at(stage)) {
+                // One that was read for the sake of another may have moved on meanwhile, or be gone.
+                double since = stages.get(stage).getOrDefault(connection, time);
+                if (time - since >= SILENT && !hasUnread.test(connection)) {
+                    return Optional.of(connection);
+                }
+            }
+        }
+        // Not for a crowd: known clients keep connections to use them.
+        boolean crowded = stages.get(Stage.UNKNOWN).size() + stages.get(Stage.BEGUN).size()
+                > CROWD_PART * most;
+        return crowded ? Optional.empty() : at(Stage.KNOWN).stream().findFirst();
+    }
+}
--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
+import wheelroute.limits.Places;
 import wheelroute.net.Link;
 import wheelroute.net.Loop;
 
@@ -17,8 +18,6 @@
     private static final double PATIENCE = 2.4;
     /** What lies unread when that is over, after a pause of the whole process, is read within this. */
     private static final double LAST_LOOK = 0.2;
-    /** Who says nothing for so long may lose its place when places are wanted: a submission comes at once. */
-    private static final double SILENT = 0.15;
 
     private final Clients clients;
     private final ClientDecoder decoder;
@@ -29,7 +28,6 @@
     private boolean begun;
     private boolean hasSpoken;
     private boolean hasSubmitted;
-    private double openedAt;
     private Loop.Timer patience;
     private boolean lingering;
     private boolean turnedAway;
@@ -44,7 +42,6 @@
 
     @Override
     public void onOpen() {
-        openedAt = loop.now();
         turnedAway = !clients.opened(this);
         super.onOpen();
         waitForMessage();
@@ -98,6 +95,7 @@
             begun = true;
             ClientMessage message = decoder.decode(in);
             if (message == null) {
+                clients.is(this, Places.Stage.BEGUN);
                 return;
             }
             patience.cancel();
@@ -118,13 +116,14 @@
     private void refuse(BadMessage e) {
         patience.cancel();
         clients.notTaken();
+        clients.is(this, Places.Stage.HELD);
         lastMessage = true;
         waiting = true;
         answer(ClientAnswer.of(e.status(), e.getMessage()));
     }
 
     private void handle(ClientMessage message) {
-        clients.heard(this);
+        clients.is(this, Places.Stage.HELD);
         if (message.method().equals("GET")) {
             answer(switch (message.path()) {
                 case "/healthz" -> clients.health();
@@ -197,9 +196,15 @@
 
     private void answered(boolean last) {
         waiting = false;
+        if (!getEndPoint().isOpen()) {
+            return;
+        }
         if (last) {
             linger();
-        } else if (ahead != null) {
+            return;
+        }
+        clients.is(this, hasSubmitted ? Places.Stage.KNOWN : Places.Stage.VISITOR);
+        if (ahead != null) {
             ByteBuffer next = ahead;
             ahead = null;
             read(next);
@@ -211,6 +216,7 @@
 
     private void linger() {
         lingering = true;
+        clients.is(this, Places.Stage.LEAVING);
         ahead = null;
         getEndPoint().shutdownOutput();
         loop.later(LINGER, this::close);
@@ -219,13 +225,8 @@
         }
     }
 
-    /** Its last answer is out; it only waits for the client to see that. */
-    boolean isLingering() {
-        return lingering;
-    }
-
     /** Between two messages, with none begun; one that has not spoken yet may have its first on the way. */
-    boolean isIdle() {
+    private boolean isIdle() {
         return hasSpoken && !waiting && !begun && !lingering;
     }
 
@@ -247,31 +248,28 @@
     }
 
     /** Reads what there is, if there is something. */
-    private boolean hasUnread() {
+    boolean hasUnread() {
         try {
-            peek();
-            return begun || waiting;
+            return peek() > 0;
         } catch (IOException e) {
             return false;
         }
     }
 
-    /** Idle, and what it sent so far was no submission. */
-    boolean isIdleVisitor() {
-        return isIdle() && !hasSubmitted;
-    }
-
-    /** Has not spoken yet: it may be a client's as well as a stranger's. */
-    boolean isUnknown() {
-        return !hasSpoken;
-    }
-
-    /** Has said nothing for longer than a client with a submission would, and nothing of it lies unread. */
-    boolean isSilent() {
-        if (hasSpoken || begun || loop.now() - openedAt < SILENT) {
-            return false;
+    /** For another one. A message that has begun is told to come back: it may be a true client's. */
+    void makeRoom() {
+        if (!begun) {
+            close();
+            return;
         }
-        return !hasUnread();
+        clients.notTaken();
+        // Its place is free at once, whenever that answer is through.
+        clients.closed(this);
+        patience.cancel();
+        begun = false;
+        lingering = true;
+        Callback written = Callback.from(() -> loop.post(this::close), cause -> loop.post(this::close));
+        getEndPoint().write(written, ClientAnswer.bounced(0).encode(true));
     }
 
     private void ended() {
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -4,14 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
-import java.util.Optional;
-import java.util.Set;
-import java.util.function.Predicate;
+import java.util.List;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import wheelroute.limits.Places;
 import wheelroute.net.Counters;
 import wheelroute.net.Loop;
 
@@ -19,8 +16,6 @@
 public final class Clients implements Loop.Peer {
     /** Beyond the bound this part of it more is told to go away, each in a moment; the rest is closed. */
     private static final double TURNED_AWAY_PART = 0.06;
-    /** More than this part that has not spoken yet is a crowd of strangers. */
-    private static final double CROWD_PART = 0.5;
     /** A connection idle for so long between two messages is closed: its client may be long gone. */
     private static final long IDLE_MILLIS = 120_000;
     /** Of the heap so much may be clients' bodies: what they become on their way is as much again. */
@@ -30,9 +25,8 @@
     private final Submitters submitters;
     private final Counters counters;
     private final int mostAlone;
-    private int most;
+    private final Places<ClientConnection> places;
     private final Room room = new Room((long) (HELD_PART * Runtime.getRuntime().maxMemory()));
-    private final Set<ClientConnection> open = new LinkedHashSet<>();
     private ServerSocketChannel server;
     private boolean isListening;
 
@@ -41,7 +35,7 @@
         this.submitters = submitters;
         this.counters = counters;
         mostAlone = most;
-        this.most = most;
+        places = new Places<>(most);
     }
 
     /** Shared: a second process may listen there too, and each is dealt a part of the connections. */
@@ -52,7 +46,7 @@
 
     /** So many processes share the bound; who is over it by that makes room as others come. */
     public void sharedBy(int processes) {
-        most = mostAlone / processes;
+        places.most(mostAlone / processes);
     }
 
     /** The port is the system's choice when the configuration names 0. */
@@ -74,33 +68,16 @@
     /** False when it is one too many, and none that is done, idle or silent can make room. */
     boolean opened(ClientConnection connection) {
         counters.count(Counters.Kind.CLIENTS_OPENED);
-        if (open.size() >= most) {
-            // Last those who submitted before, and not for a crowd: they keep connections to use them.
-            first(ClientConnection::isLingering).or(() -> first(ClientConnection::isIdleVisitor))
-                    .or(() -> first(ClientConnection::isSilent))
-                    .or(() -> isCrowded() ? Optional.empty() : first(ClientConnection::isIdle))
-                    .ifPresent(ClientConnection::close);
-        }
-        open.add(connection);
-        if (open.size() > most + 1 + TURNED_AWAY_PART * most) {
+        places.makesRoom(loop.now(), ClientConnection::hasUnread).ifPresent(ClientConnection::makeRoom);
+        places.is(connection, Places.Stage.UNKNOWN, loop.now());
+        if (places.taken() > places.most() + 1 + TURNED_AWAY_PART * places.most()) {
             connection.close();
         }
-        return open.size() <= most;
-    }
-
-    private boolean isCrowded() {
-        return open.stream().filter(ClientConnection::isUnknown).count() > CROWD_PART * most;
+        return places.taken() <= places.most();
     }
 
-    private Optional<ClientConnection> first(Predicate<ClientConnection> test) {
-        return open.stream().filter(test).findFirst();
-    }
-
-    /** Keeps the open ones in the order in which they last spoke: the longest idle makes room first. */
-    void heard(ClientConnection connection) {
-        if (open.remove(connection)) {
-            open.add(connection);
-        }
+    void is(ClientConnection connection, Places.Stage stage) {
+        places.is(connection, stage, loop.now());
     }
 
     Room room() {
@@ -108,11 +85,11 @@
     }
 
     void closed(ClientConnection connection) {
-        open.remove(connection);
+        places.closed(connection);
     }
 
     public int open() {
-        return open.size();
+        return places.taken();
     }
 
     void turnedAway(ClientMessage message) {
@@ -149,8 +126,8 @@
         if (!closesConnections()) {
             return;
         }
-        for (ClientConnection connection : new ArrayList<>(open)) {
-            connection.closeIfIdle();
+        for (Places.Stage stage : List.of(Places.Stage.VISITOR, Places.Stage.KNOWN)) {
+            places.at(stage).forEach(ClientConnection::closeIfIdle);
         }
     }
 }
