--- a/kit/src/test/java/wheelroute/kit/virtual/VirtualRunTest.java
+++ b/kit/src/test/java/wheelroute/kit/virtual/VirtualRunTest.java
@@ -5,11 +5,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import wheelroute.kit.Small;
+import wheelroute.kit.audit.Rule;
 import wheelroute.kit.brain.Brains;
 import wheelroute.kit.report.HtmlWriter;
 import wheelroute.kit.report.JsonWriter;
@@ -23,6 +25,7 @@
 /** Whole runs on the virtual clock. */
 public class VirtualRunTest {
     private static final double QUICK = 30;
+    private static final int SCHEDULES = 60;
 
     private static Report play(Scenario scenario, long seed, double seconds, String brain) throws Exception {
         return VirtualRun.play(scenario, seed, seconds, Map.of(), brain, w -> Brains.maker(brain, w),
@@ -66,6 +69,19 @@
         }
     }
 
+    /** What a real process would do as it stands still or loses its ways, on this clock: drawn schedules. */
+    @Test
+    public void drawnSchedulesKeepTheRules() throws Exception {
+        Scenario scenario = Small.scenario("[drawn]\nfaults = 5\nlongest = 2\n[clients]\nretries = 2\n", 4);
+        for (int seed = 0; seed < SCHEDULES; seed++) {
+            Report report = play(scenario, seed, 5, Brains.MODULE);
+            Report.Row all = report.total();
+            assertTrue(report.keepsRules(), seed + ": " + TableWriter.text(report));
+            assertEquals(all.inTime() + all.late() + all.bounced() + all.scrapped() + all.unanswered()
+                    + all.left(), all.asked());
+        }
+    }
+
     @Test
     public void theSameSeedGivesTheSameReport() throws Exception {
         Scenario scenario = Library.find("drain-in-burst");
@@ -127,15 +143,36 @@
         assertTrue(TableWriter.text(report).contains("PARTIAL"));
     }
 
-    /** What a machine that lags behind its own stand-ins measures is no service of the dispatcher's. */
-    @Test
-    public void aRunOnASlowMachineIsVoid() throws Exception {
+    @DataProvider
+    public Object[][] lags() {
+        double much = Report.MOST_LAG * 1.01;
+        double once = Report.MOST_LAG_ONCE * 1.01;
+        return new Object[][] {
+            // lateness, what breaks a rule, the judgement
+            {new Report.Lag(much, 1, 0, 0), null, Report.Judgement.NOT_JUDGED},
+            {new Report.Lag(0, 0, much, 1), null, Report.Judgement.NOT_JUDGED},
+            {new Report.Lag(0, once, 0, once), null, Report.Judgement.HOLDS},
+            {new Report.Lag(0, 0, 0, 0), Rule.ONE_ANSWER, Report.Judgement.DOES_NOT_HOLD},
+            {new Report.Lag(0, once, 0, 0), Rule.ONE_ANSWER, Report.Judgement.NOT_JUDGED},
+            {new Report.Lag(0, 0, 0, once), Rule.COLD_WORKER, Report.Judgement.NOT_JUDGED},
+            {new Report.Lag(0, once, 0, once), Rule.NO_EFFECT_TWICE, Report.Judgement.DOES_NOT_HOLD},
+        };
+    }
+
+    /** What a machine that lags measures is no service of the dispatcher's, but an effect twice is one. */
+    @Test(dataProvider = "lags")
+    public void aRunOnASlowMachineIsNotJudged(Report.Lag lag, Rule broken, Report.Judgement judged)
+            throws Exception {
         Report r = play(Small.scenario(""), 1, 5, Brains.MODULE);
         assertTrue(r.holds(), TableWriter.text(r));
+        Map<Rule, Integer> counts = new LinkedHashMap<>(r.breachCounts());
+        if (broken != null) {
+            counts.put(broken, 1);
+        }
         Report late = new Report(r.run(), r.total(), r.offerings(), r.tenants(), r.figures(), r.verdicts(),
-                r.breachCounts(), r.breaches(), r.series(), r.distribution(), r.bands(),
-                new Report.Lag(Report.MOST_LAG * 1.01, 1), false);
-        assertTrue(!late.holds() && !late.isInTime());
-        assertTrue(TableWriter.text(late).contains("VOID"), TableWriter.text(late));
+                counts, r.breaches(), r.series(), r.distribution(), r.bands(),
+                lag, r.notes(), false);
+        assertEquals(late.judgement(), judged, TableWriter.text(late));
+        assertEquals(TableWriter.text(late).contains("NOT JUDGED"), judged == Report.Judgement.NOT_JUDGED);
     }
 }
