A process that ends waits for messages that have begun, and makes room at once when places halve

Seen: all within a moment of a SIGTERM or of a replacement's start; some were launched and done at a worker as their connection was lost. Ruled out: the end after 3.5 s (they were lost 0.5 s after the signal), the workers. At fault: Service.look ended the process 80 ms after nothing was unanswered, though messages were half read, and took new ones in those 80 ms; and Clients.sharedBy halved the places without making room, so that Clients.opened found far too many and closed each newcomer unheard.

Change: the end waits while a message has begun or a connection is a moment old (Places.expects), within the same 3.5 s, and looks again once the last bytes have left; room is made when the places become fewer.

ServiceTest and ReplacementTest play both causes and fail without the mends.

--- a/daemon/src/main/java/wheelroute/limits/Places.java
+++ b/daemon/src/main/java/wheelroute/limits/Places.java
@@ -82,6 +82,20 @@
         }
     }
 
+    /**
+     * Whether somebody may be about to hand over a message: one has begun, or was accepted a moment ago. A
+     * process that ends now would cut it off unheard.
+     */
+    public boolean expects(double time) {
+        return !stages.get(Stage.BEGUN).isEmpty()
+                || stages.get(Stage.UNKNOWN).values().stream().anyMatch(since -> time - since < SILENT);
+    }
+
+    /** More are here than there are places, as when the places have just become fewer. */
+    public boolean isOver() {
+        return taken() > most;
+    }
+
     /**
      * Before one more comes: who makes room for it; nobody if there is a place, or if all that are here have
      * more of a claim than whoever comes.
--- a/daemon/src/main/java/wheelroute/net/Service.java
+++ b/daemon/src/main/java/wheelroute/net/Service.java
@@ -226,17 +226,30 @@
     }
 
     private void look(double end) {
-        boolean mustWaitForClients = !exchanges.closesConnections() || exchanges.isSucceeded();
-        if (exchanges.unanswered() == 0 && (!mustWaitForClients || clients.open() == 0)) {
-            loop.later(LAST_BYTES, this::end);
-        } else if (loop.now() >= end) {
+        if (loop.now() >= end) {
             exchanges.giveUpAll();
             loop.later(LAST_BYTES, this::end);
+        } else if (isQuiet()) {
+            // What is handed over while the last bytes leave is answered too.
+            loop.later(LAST_BYTES, () -> {
+                if (isQuiet()) {
+                    end();
+                } else {
+                    look(end);
+                }
+            });
         } else {
             loop.later(LOOK, () -> look(end));
         }
     }
 
+    /** Nothing is unanswered, and nobody is about to hand over more. */
+    private boolean isQuiet() {
+        boolean mustWaitForClients = !exchanges.closesConnections() || exchanges.isSucceeded();
+        return exchanges.unanswered() == 0 && !clients.expects()
+                && (!mustWaitForClients || clients.open() == 0);
+    }
+
     private void end() {
         if (handover != null) {
             handover.end();
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -44,9 +44,22 @@
         isListening = true;
     }
 
-    /** So many processes share the bound; who is over it by that makes room as others come. */
+    /**
+     * So many processes share the bound. Who is over it by that makes room at once: else every one that comes
+     * next would be too many by far, and be closed unheard.
+     */
     public void sharedBy(int processes) {
         places.most(mostAlone / processes);
+        int before = places.taken() + 1;
+        while (places.isOver() && places.taken() < before) {
+            before = places.taken();
+            places.makesRoom(loop.now(), ClientConnection::hasUnread).ifPresent(ClientConnection::makeRoom);
+        }
+    }
+
+    /** A client may be about to hand over a message: see {@link Places#expects}. */
+    public boolean expects() {
+        return places.expects(loop.now());
     }
 
     /** The port is the system's choice when the configuration names 0. */
--- a/daemon/src/test/java/wheelroute/limits/PlacesTest.java
+++ b/daemon/src/test/java/wheelroute/limits/PlacesTest.java
@@ -74,6 +74,21 @@
         assertEquals(places.taken(), 3);
     }
 
+    @DataProvider
+    public Object[][] expecting() {
+        return new Object[][] {
+            {"a known 1, b held 1, c leaving 9.99, d visitor 9.99", false}, {"a begun 1", true},
+            {"a unknown 9", false}, {"a unknown 9.9", true}, {"a begun 1, a held 2", false},
+            {"a unknown 9, b unknown 9.9, b gone", false},
+        };
+    }
+
+    /** What a process that ends must wait for: a message under way, not a stranger who says nothing. */
+    @Test(dataProvider = "expecting")
+    public void aMessageUnderWayIsExpected(String came, boolean expects) {
+        assertEquals(places(came).expects(NOW), expects);
+    }
+
     /** Half of the places are another process's from here on: who comes now needs one made. */
     @Test
     public void fewerPlacesAreFullSooner() {
--- a/daemon/src/test/java/wheelroute/net/ReplacementTest.java
+++ b/daemon/src/test/java/wheelroute/net/ReplacementTest.java
@@ -36,9 +36,11 @@
     private static final int FIRST_ID = 36;
 
     private int lastId;
+    private int sockets;
 
     @BeforeMethod
     public void wantMeeting() throws IOException {
+        sockets = 1024;
         hasDoor = true;
         meeting = Files.createTempDirectory("meet");
     }
@@ -53,7 +55,7 @@
 
     private Service another(Path directory, int clientsPort) {
         InetSocketAddress shared = new InetSocketAddress(InetAddress.getLoopbackAddress(), clientsPort);
-        return new Service(new Config("n0", shared, config.discovery(), config.admin(), directory, 1024,
+        return new Service(new Config("n0", shared, config.discovery(), config.admin(), directory, sockets,
                 Double.NaN, config.known(), config.settings(), 0.5, 10, longest));
     }
 
@@ -128,6 +130,23 @@
         assertEquals(call(next, "READY\n"), "ok ready\n");
     }
 
+    /** Half of the places are the other's from the moment it is there: room is made then, not as clients come. */
+    @Test(timeOut = PATIENCE)
+    public void roomIsMadeAtOnceForTwo() throws Exception {
+        sockets = 72;
+        serveKnown(Effect.IDEMPOTENT, Collections.nCopies(10, DONE).toArray(new String[0]));
+        List<Socket> kept = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            kept.add(connect());
+            assertEquals(status(ask(kept.get(i), job())), 200);
+        }
+        beside(meeting);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(kept.get(i).getInputStream().read(), -1);
+        }
+        assertEquals(status(ask(kept.get(8), job())), 200);
+    }
+
     /** What is in work at the old process is answered there, and its id is taken at both. */
     @Test(timeOut = PATIENCE)
     public void workGoesOnWhereItBegan() throws Exception {
--- a/daemon/src/test/java/wheelroute/net/ServiceTest.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import wheelroute.World;
@@ -468,6 +469,27 @@
         service = null;
     }
 
+    /** Who is slow to write as the signal comes is served all the same, though nothing else is left to do. */
+    @Test(timeOut = PATIENCE)
+    public void slowWritersAreServedBeforeItEnds() throws Exception {
+        workers.answers.add(DONE);
+        serve(Effect.UNREPEATABLE, 1024, known(workers.listen()), 2);
+        Socket slow = connect();
+        byte[] message = post(10).getBytes(StandardCharsets.UTF_8);
+        int half = message.length / 2;
+        slow.getOutputStream().write(message, 0, half);
+        CompletableFuture<Void> ended = drain(service);
+        awaitDraining();
+        // A byte at a time, and so for longer than the listening socket stays open.
+        for (int i = half; i < message.length; i++) {
+            slow.getOutputStream().write(message, i, 1);
+            LockSupport.parkNanos(1_500_000_000L / (message.length - half));
+        }
+        assertEquals(status(read(slow.getInputStream())), 200);
+        ended.get();
+        service = null;
+    }
+
     /** The end that a signal brings: what was taken is answered, and nothing after that is accepted. */
     @Test(timeOut = PATIENCE)
     public void answersAllBeforeItEnds() throws Exception {
