--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -11,7 +11,9 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import wheelroute.decision.Settings;
 
@@ -140,7 +142,36 @@
                 address(discovery, "discovery"), admin, admin == null ? null : meeting(), (int) sockets,
                 memory, known, settings,
                 positive(connect, reader.seconds(connect, USUAL_CONNECT)),
-                positive(idle, reader.seconds(idle, USUAL_IDLE)), longest);
+                positive(idle, reader.seconds(idle, USUAL_IDLE)), longest, peering(settings));
+    }
+
+    /**
+     * Off unless it is asked for by name: a platform that tells addresses of peers does not ask for it yet.
+     */
+    private Peering peering(Settings settings) throws ConfigException {
+        if (file.getOrDefault("peering.listen", "").isEmpty()) {
+            return null;
+        }
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (String text : file.getOrDefault("peering.addresses", "").split(",")) {
+            InetSocketAddress address = parse(text);
+            if (address == null) {
+                throw new ConfigException("peering.addresses", "has one that is not host:port: " + text);
+            }
+            addresses.add(address);
+        }
+        if (addresses.size() != settings.dispatchers()) {
+            throw new ConfigException("peering.addresses", "are " + addresses.size() + " of "
+                    + settings.dispatchers() + " dispatchers");
+        }
+        if (settings.position() < 0 || settings.position() >= addresses.size()) {
+            throw new ConfigException("peering", "needs this dispatcher's position among them");
+        }
+        if (!value("LB_NAME", "name").matches("[!-~]{1,40}")) {
+            throw new ConfigException("name", "is longer than 40 plain characters, which peers need");
+        }
+        return new Peering(file.getOrDefault("peering.cluster", ""), address("", "peering.listen"),
+                List.copyOf(addresses), settings.position());
     }
 
     private static double positive(String key, double value) throws ConfigException {
--- a/daemon/src/main/java/wheelroute/config/TomlFields.java
+++ b/daemon/src/main/java/wheelroute/config/TomlFields.java
@@ -153,6 +153,24 @@
         return texts;
     }
 
+    /** Whatever texts are listed there. */
+    public List<String> anyTexts(String key) {
+        Object value = value(key);
+        if (value != null && !(value instanceof TomlArray)) {
+            fault(key, "is not a list");
+            return List.of();
+        }
+        List<String> texts = new ArrayList<>();
+        for (Object item : value == null ? List.of() : ((TomlArray) value).toList()) {
+            if (item instanceof String text) {
+                texts.add(text);
+            } else {
+                fault(key, "has an item that is not a text: " + item);
+            }
+        }
+        return texts;
+    }
+
     /** The table of that name; an empty one if it is not there. */
     public TomlFields table(String key) {
         Object value = value(key);
--- a/daemon/src/main/java/wheelroute/config/TomlFile.java
+++ b/daemon/src/main/java/wheelroute/config/TomlFile.java
@@ -78,11 +78,23 @@
             settings.tenant(f.text("name", null), f.number("quota", 0, 0, MOST));
             f.done();
         }
+        peers(root.table("peers"));
         root.tables("workers").forEach(this::worker);
         settings.pairs().forEach((path, value) -> put("settings." + path, value));
         root.done();
     }
 
+    private void peers(TomlFields f) {
+        optional("peering.listen", f.text("listen", ""));
+        optional("peering.cluster", f.text("cluster", ""));
+        List<String> addresses = f.anyTexts("addresses");
+        optional("peering.addresses", String.join(",", addresses));
+        if (f.has("listen") == addresses.isEmpty()) {
+            f.fault("listen", "and addresses go together");
+        }
+        f.done();
+    }
+
     private static void terms(TomlFields f, SettingsPairs settings) {
         settings.flag("family_info.tells_start", f.flag("tells_start", true))
                 .seconds("family_info.progress_us", f.number("progress_every", 0, 0, 60))
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -132,6 +132,7 @@
     /** Workers with launches of ours out. */
     private final List<Worker> holding = new ArrayList<>();
     private int processes = 1;
+    private Parts parts;
     private boolean awake;
     private double sweepAt;
     private double watchAgainAt = Double.NaN;
@@ -140,6 +141,7 @@
     public Policy(Settings settings, Dispatcher dispatcher) {
         this.settings = settings;
         this.dispatcher = dispatcher;
+        parts = Parts.even(settings);
         for (Settings.Offering offering : settings.offerings()) {
             rows.put(offering.id(), new Row(offering));
         }
@@ -224,6 +226,11 @@
         workers.values().removeIf(w -> !w.ready && w.out.isEmpty());
     }
 
+    /** What is shared by all is divided in another way than evenly from here on. */
+    public void sharedIn(Parts division) {
+        parts = division;
+    }
+
     /** So many processes are this one dispatcher: each has its part of the traffic, and of what is shared. */
     public void sharedBy(int count) {
         processes = Math.max(1, count);
@@ -992,27 +999,21 @@
             if (warm >= 1) {
                 return true;
             }
-            double sharers = Math.max(1, settings.dispatchers());
-            if (settings.position() >= 0 && sharers > settings.tipMultiple()) {
-                // Guards against shares that no job fits into, by which many dispatchers shut a fleet out.
-                if (!hasTurn()) {
-                    return false;
-                }
-                sharers = TURNS_A_WINDOW;
-            }
-            sharers *= processes;
+            // Guards against shares that no job fits into, by which many dispatchers shut a fleet out.
+            boolean byTurns = settings.position() >= 0 && settings.dispatchers() > settings.tipMultiple();
+            double part = byTurns ? parts.of(turn()) / TURNS_A_WINDOW : parts.whole();
             double sent = work;
             for (double[] entry : sentCold) {
                 sent += entry[0] > now - settings.tipWindow() ? entry[1] : 0;
             }
-            double capacity = warm * model.speed * slots();
-            return sent <= COLD_USE * settings.tipMultiple() * capacity * settings.tipWindow() / sharers;
+            double capacity = warm * model.speed * slots() * settings.tipWindow() / processes;
+            return sent <= COLD_USE * settings.tipMultiple() * capacity * part;
         }
 
         /** Dispatchers go by turns of a window each, reckoned from the start that all read in the list. */
-        private boolean hasTurn() {
+        private int turn() {
             long turn = (long) (Math.max(0, now - listing.startedAt()) / settings.tipWindow());
-            return (firstTurn + turn) % settings.dispatchers() == settings.position();
+            return (int) ((firstTurn + turn) % settings.dispatchers());
         }
 
         void sentCold(double work) {
--- a/daemon/src/main/java/wheelroute/limits/Places.java
+++ b/daemon/src/main/java/wheelroute/limits/Places.java
@@ -15,7 +15,9 @@
  * some are slow to write, some only look, some keep a connection for later.
  */
 public final class Places<C> {
-    /** How far a connection is. Within each, the first is the one about which nothing happened for longest. */
+    /**
+     * How far a connection is. Within each, the first is the one about which nothing happened for longest.
+     */
     public enum Stage {
         /** Has said nothing yet: its first message may be on the way, or it is a stranger. */
         UNKNOWN,
--- a/daemon/src/main/java/wheelroute/net/Datagrams.java
+++ b/daemon/src/main/java/wheelroute/net/Datagrams.java
@@ -30,10 +30,16 @@
 
     /** Longer ones than the size are cut off by the system, and so no message. */
     public Datagrams(Loop loop, InetSocketAddress address, int size, Hearer hearer) throws IOException {
+        this(loop, address, false, size, hearer);
+    }
+
+    /** The same; shared, another process may hear some of what comes there. */
+    public Datagrams(Loop loop, InetSocketAddress address, boolean shared, int size, Hearer hearer)
+            throws IOException {
         this.loop = loop;
         this.hearer = hearer;
         buffer = ByteBuffer.allocate(size);
-        channel = loop.datagrams(address, this);
+        channel = loop.datagrams(address, this, shared);
     }
 
     /** With the port that it got: 0 leaves the choice to the system. */
--- a/daemon/src/main/java/wheelroute/net/Exchanges.java
+++ b/daemon/src/main/java/wheelroute/net/Exchanges.java
@@ -16,6 +16,7 @@
 import wheelroute.decision.Ids;
 import wheelroute.decision.Learned;
 import wheelroute.decision.Listing;
+import wheelroute.decision.Parts;
 import wheelroute.decision.Policy;
 import wheelroute.decision.Settings;
 import wheelroute.decision.Submission;
@@ -301,6 +302,10 @@
         return new ArrayList<>(openIds);
     }
 
+    void sharedIn(Parts division) {
+        policy.sharedIn(division);
+    }
+
     void sharedBy(int processes) {
         turn(() -> policy.sharedBy(processes));
     }
--- a/daemon/src/main/java/wheelroute/net/Loop.java
+++ b/daemon/src/main/java/wheelroute/net/Loop.java
@@ -203,10 +203,17 @@
         manager.acceptor(server);
     }
 
-    /** A socket for datagrams at this address; its peer's connection reads and sends them. */
-    public DatagramChannel datagrams(InetSocketAddress address, Peer peer) throws IOException {
+    /**
+     * A socket for datagrams at this address; its peer's connection reads them. Shared, another process may
+     * have one there too, and each hears a part of what comes.
+     */
+    public DatagramChannel datagrams(InetSocketAddress address, Peer peer, boolean shared)
+            throws IOException {
         DatagramChannel channel = DatagramChannel.open(StandardProtocolFamily.INET);
         try {
+            if (shared) {
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
             channel.bind(address);
             channel.configureBlocking(false);
             manager.accept(channel, peer);
--- a/daemon/src/main/java/wheelroute/net/Service.java
+++ b/daemon/src/main/java/wheelroute/net/Service.java
@@ -17,6 +17,7 @@
 import wheelroute.net.handover.Handover;
 import wheelroute.net.list.ListWatch;
 import wheelroute.net.list.WorkerList;
+import wheelroute.net.peers.Peers;
 import wheelroute.net.workers.Workers;
 
 /** One dispatcher on sockets: its parts put together, started, and brought to an end. */
@@ -50,6 +51,8 @@
     private Door door;
     /** Null where no process can take another's place. */
     private Handover handover;
+    /** Null where this dispatcher knows no others. */
+    private Peers peers;
     private boolean listensToClients;
 
     public Service(Config config) {
@@ -117,6 +120,19 @@
             handover = new Handover(loop, config.meeting(), name, exchanges, new Others());
             exchanges.handover(handover);
         }
+        if (config.peers() != null) {
+            joinPeers();
+        }
+    }
+
+    private void joinPeers() throws ConfigException {
+        try {
+            peers = new Peers(loop, config.peers(), config.name(), config.settings().seed(),
+                    config.meeting() != null);
+        } catch (IOException e) {
+            throw new ConfigException("peering.listen", "cannot be used: " + e.getMessage());
+        }
+        exchanges.sharedIn(peers);
     }
 
     /** Last of all: from here on clients come. */
@@ -133,6 +149,9 @@
         if (handover != null) {
             handover.serving();
         }
+        if (peers != null) {
+            peers.begin();
+        }
         listening.complete(null);
     }
 
@@ -183,6 +202,11 @@
         return exchanges.gauges();
     }
 
+    @Override
+    public String peers() {
+        return peers == null ? null : peers.text();
+    }
+
     /** From any thread: applies what can be of a configuration read anew; a faulty one changes nothing. */
     public void reload(Callable<Config> reader) {
         loop.post(() -> {
@@ -254,6 +278,9 @@
         if (handover != null) {
             handover.end();
         }
+        if (peers != null) {
+            peers.leave();
+        }
         drained.countDown();
     }
 
@@ -269,6 +296,9 @@
             exchanges.sharedBy(handover.processes());
             workers.sharedBy(handover.processes());
             clients.sharedBy(handover.processes());
+            if (peers != null && listensToClients) {
+                peers.succeeded(handover.hasSuccessor());
+            }
             if (handover.hasSuccessor() && exchanges.isDraining()) {
                 clients.stopListening();
             }
--- a/daemon/src/main/java/wheelroute/net/admin/Door.java
+++ b/daemon/src/main/java/wheelroute/net/admin/Door.java
@@ -64,8 +64,11 @@
                 return reason == null ? "ok ready\n" : "fail " + reason + "\n";
             case "STATS":
                 return Figures.of(operators.counters(), operators.gauges()) + "eof\n";
+            case "PEERS":
+                String peers = operators.peers();
+                return peers == null ? "fail this dispatcher knows no others\n" : peers + "eof\n";
             default:
-                return "fail unknown call: READY or STATS\n";
+                return "fail unknown call: READY, STATS or PEERS\n";
         }
     }
 }
--- a/daemon/src/main/java/wheelroute/net/admin/Operators.java
+++ b/daemon/src/main/java/wheelroute/net/admin/Operators.java
@@ -11,4 +11,7 @@
     Counters counters();
 
     Gauges gauges();
+
+    /** A line for each dispatcher that is known; null where none is to be. */
+    String peers();
 }
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/peers/Peers.java
@@ -0,0 +1,280 @@
+package wheelroute.net.peers;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.zip.CRC32;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wheelroute.config.Peering;
+import wheelroute.decision.Parts;
+import wheelroute.net.Datagrams;
+import wheelroute.net.Loop;
+import wheelroute.peers.Codec;
+import wheelroute.peers.Lease;
+import wheelroute.peers.MalformedException;
+import wheelroute.peers.Membership;
+import wheelroute.peers.Message;
+import wheelroute.peers.PeerId;
+import wheelroute.peers.Place;
+import wheelroute.peers.Shares;
+import wheelroute.peers.Sighting;
+import wheelroute.peers.Votes;
+
+/**
+ * The other dispatchers of this installation, by datagrams. They are known by their numbers; where each
+ * number is reached is this dispatcher's own list, as one that others tell may not be where it is for us.
+ */
+public final class Peers implements Parts {
+    private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
+
+    private final Loop loop;
+    private final Peering peering;
+    private final PeerId name;
+    private final long life;
+    private final Membership membership;
+    private final Shares shares;
+    private final int cluster;
+    private final boolean shared;
+    private Votes votes;
+    private Datagrams socket;
+    private Loop.Timer wake;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+    private boolean silent;
+    private boolean left;
+    private long malformed;
+    private long foreign;
+
+    /**
+     * From this process's start on; nothing is sent before {@link #begin}.
+     *
+     * @param shared another process may take this one's place, and then hears peers at the same address
+     */
+    public Peers(Loop loop, Peering peering, String dispatcher, long seed, boolean shared)
+            throws IOException {
+        this.loop = loop;
+        this.peering = peering;
+        this.shared = shared;
+        name = new PeerId(dispatcher);
+        life = System.currentTimeMillis();
+        cluster = cluster(peering.cluster());
+        Place own = new Place(0, peering.number());
+        List<Place> places = java.util.stream.IntStream.range(0, peering.addresses().size())
+                .mapToObj(n -> new Place(0, n)).toList();
+        membership = new Membership(cluster, name, own, life, places, seed, true, new Outside());
+        shares = new Shares(peering.number(), places.size(), life, this::isThere, this::sendLease);
+        open();
+    }
+
+    private void open() throws IOException {
+        votes = new Votes(loop.now());
+        socket = new Datagrams(loop, peering.listen(), shared, Codec.MOST_BYTES + 1, this::came);
+    }
+
+    private static int cluster(String name) {
+        CRC32 crc = new CRC32();
+        crc.update(name.getBytes(StandardCharsets.UTF_8));
+        return (int) crc.getValue();
+    }
+
+    public void begin() {
+        LOG.info("peers are heard at {}, as number {} of {}", socket.address(), peering.number(),
+                peering.addresses().size());
+        membership.at(loop.now());
+        membership.begin();
+        askForShares();
+    }
+
+    /** Gives back what it holds and says that it goes. */
+    public void leave() {
+        left = true;
+        if (!silent) {
+            shares.leave();
+            membership.at(loop.now());
+            membership.leave();
+            fallSilent();
+        }
+    }
+
+    /**
+     * Another process speaks for this dispatcher, or does so no longer: both are one member. What that one
+     * holds it holds by words of its own, so what this one holds is given back; and of what was promised in
+     * the meantime this one knows nothing, so it is silent for as long as after a start.
+     */
+    public void succeeded(boolean now) {
+        if (now) {
+            fallSilent();
+        } else if (silent && !left) {
+            try {
+                open();
+                silent = false;
+                begin();
+            } catch (IOException e) {
+                LOG.warn("peers are not heard any more: {}", e.toString());
+            }
+        }
+    }
+
+    private void fallSilent() {
+        if (!silent) {
+            shares.leave();
+            silent = true;
+            membership.fallSilent();
+            socket.close();
+        }
+    }
+
+    private void askForShares() {
+        if (!silent) {
+            loop.later(Math.min(Lease.USED, shares.woken(loop.now())), this::askForShares);
+        }
+    }
+
+    // ---- what the decisions ask
+
+    @Override
+    public double of(int number) {
+        return silent ? 0 : shares.of(number, loop.now());
+    }
+
+    @Override
+    public double whole() {
+        return silent ? 0 : shares.whole(loop.now());
+    }
+
+    // ---- who is there
+
+    private boolean isThere(int number) {
+        return number == peering.number() || membership.others().stream().anyMatch(one ->
+                one.place().port() == number && one.state() == Sighting.State.ALIVE);
+    }
+
+    private InetSocketAddress address(Place place) {
+        return place.host() == 0 && place.port() < peering.addresses().size()
+                ? peering.addresses().get(place.port()) : null;
+    }
+
+    private void send(Place to, Message message) {
+        InetSocketAddress address = address(to);
+        if (address != null && !silent) {
+            socket.send(address, Codec.encode(message));
+        }
+    }
+
+    private void sendLease(int dispatcher, Message.Kind kind, int number, Message.Lease lease) {
+        Message message = new Message(kind, cluster, membership.self(), number, 0, null, lease, List.of());
+        if (dispatcher == peering.number()) {
+            // Its own word it gives itself, in a turn of its own as if it had come.
+            loop.post(() -> lease(message));
+        } else {
+            send(new Place(0, dispatcher), message);
+        }
+    }
+
+    private void came(InetSocketAddress from, ByteBuffer bytes) {
+        if (silent) {
+            return;
+        }
+        try {
+            Message message = Codec.decode(bytes);
+            if (message.cluster() != cluster || address(message.from().place()) == null) {
+                foreign++;
+                return;
+            }
+            membership.at(loop.now());
+            membership.received(message.from().place(), message);
+            lease(message);
+        } catch (MalformedException e) {
+            malformed++;
+            LOG.debug("no datagram of ours from {}: {}", from, e.getMessage());
+        }
+    }
+
+    private void lease(Message message) {
+        if (message.lease() == null || silent) {
+            return;
+        }
+        double now = loop.now();
+        PeerId by = message.from().id();
+        Message.Lease lease = message.lease();
+        switch (message.kind()) {
+            case LEASE_ASK -> {
+                if (votes.ask(now, lease.share(), by, lease.life(), message.number())) {
+                    Message word = new Message(Message.Kind.LEASE_GRANT, cluster, membership.self(),
+                            message.number(), 0, null, lease, List.of());
+                    if (by.equals(name)) {
+                        loop.post(() -> lease(word));
+                    } else {
+                        send(message.from().place(), word);
+                    }
+                }
+            }
+            case LEASE_GRANT -> shares.granted(now, message.number(), lease, by);
+            default -> votes.back(lease.share(), by, lease.life(), message.number());
+        }
+    }
+
+    private final class Outside implements Membership.Outside {
+        @Override
+        public void send(Place to, Message message) {
+            Peers.this.send(to, message);
+        }
+
+        @Override
+        public void wake(double delay) {
+            double at = loop.now() + delay;
+            if (at >= wakeAt && wakeAt > loop.now()) {
+                return;
+            }
+            if (wake != null) {
+                wake.cancel();
+            }
+            wakeAt = at;
+            wake = loop.later(delay, () -> {
+                wakeAt = Double.POSITIVE_INFINITY;
+                membership.at(loop.now());
+                membership.woken();
+            });
+        }
+
+        @Override
+        public void changed(Sighting now, Sighting.State before, String why) {
+            LOG.info("{} (number {}) is {}{}, {}", now.id(), now.place().port(), word(now.state()),
+                    before == null ? "" : ", was " + word(before), why);
+        }
+    }
+
+    private static String word(Sighting.State state) {
+        return state.name().toLowerCase(Locale.ROOT);
+    }
+
+    // ---- what operators are told
+
+    /** A line for each dispatcher that is known, this one first, and one on shares and datagrams. */
+    public String text() {
+        membership.at(loop.now());
+        StringBuilder out = new StringBuilder();
+        out.append(name).append(' ').append(peering.number()).append(" alive itself\n");
+        for (Sighting one : membership.others()) {
+            out.append(one.id()).append(' ').append(one.place().port()).append(' ').append(word(one.state()))
+                    .append(String.format(Locale.ROOT, " %.1f s%n", membership.since(one.id())));
+        }
+        out.append(String.format(Locale.ROOT, "share %.4f of the whole, holding %s; doubt %d; datagrams not"
+                + " ours %d, malformed %d%n", whole(), shares.held(loop.now()), membership.doubt(), foreign,
+                malformed));
+        return out.toString();
+    }
+
+    /** How many dispatchers are there, with this one. */
+    public int there() {
+        return membership.there();
+    }
+
+    /** The port at which datagrams are heard. */
+    public int port() {
+        return socket.address().getPort();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/peers/package-info.java
@@ -0,0 +1,2 @@
+/** Datagrams between dispatchers: carries what {@link wheelroute.peers} decides. */
+package wheelroute.net.peers;
--- a/daemon/src/test/java/wheelroute/ConfigTest.java
+++ b/daemon/src/test/java/wheelroute/ConfigTest.java
@@ -17,6 +17,7 @@
 import wheelroute.config.Config;
 import wheelroute.config.ConfigException;
 import wheelroute.config.ConfigReader;
+import wheelroute.config.Peering;
 import wheelroute.config.SettingsReader;
 import wheelroute.decision.Effect;
 import wheelroute.decision.Group;
@@ -78,6 +79,21 @@
                 "{\"version\":41,\"full\":true,\"servers\":[]}");
     }
 
+    private static final String PEERING = "'peering':{'listen':'127.0.0.1:7','addresses':['127.0.0.1:7',"
+            + "'127.0.0.1:8'],'cluster':'x'},";
+
+    /** Only who asks for them by name has peers: a platform's own list of them is not enough. */
+    @Test
+    public void peersAreOffUnlessAskedFor() throws IOException, ConfigException {
+        String two = WHOLE.replace("'settings':{", "'settings':{'balancers':2,'position':1,");
+        assertEquals(read(two.replace("'settings'", "'peer_listen':'127.0.0.1:7','peers':['127.0.0.1:7',"
+                + "'127.0.0.1:8'],'settings'"), Map.of()).peers(), null);
+        Peering peers = read(two.replace("'settings'", PEERING + "'settings'"), Map.of()).peers();
+        assertEquals(peers.number(), 1);
+        assertEquals(peers.cluster(), "x");
+        assertEquals(peers.addresses().get(1).getPort(), 8);
+    }
+
     /** What was replaced since the start is the file: its word goes before the environment's of that time. */
     @Test
     public void readsAgain() throws IOException, ConfigException {
@@ -133,6 +149,13 @@
             {"'connect_timeout_us':250000", "'connect_timeout_us':-1", "connect_timeout_us"},
             {CLASSES, "'request_classes':[]", "request_classes"},
             {"'settings'", "'sittings'", "request_classes"},
+            {"'settings':{", PEERING + "'settings':{'balancers':2,", "peering"},
+            {"'settings':{", PEERING + "'settings':{'balancers':3,'position':1,", "peering.addresses"},
+            {"'settings':{", PEERING.replace(":8'", "'") + "'settings':{'balancers':2,'position':1,",
+                    "peering.addresses"},
+            {"'settings':{", PEERING.replace("127.0.0.1:7','a", "here','a")
+                    + "'settings':{'balancers':2,'position':1,", "peering.listen"},
+            {"'name':'n3',", "'name':'" + "n".repeat(41) + "'," + PEERING, "peering"},
             {WHOLE, "[]", "LB_CONFIG"},
             {WHOLE, WHOLE.substring(0, 90), "LB_CONFIG"},
         };
--- a/daemon/src/test/java/wheelroute/net/OperatingTest.java
+++ b/daemon/src/test/java/wheelroute/net/OperatingTest.java
@@ -45,10 +45,10 @@
             {"READY\n", "ok ready\n"},
             {"READY\r\n", "ok ready\n"},
             {"READY\nREADY\n", "ok ready\n"},
-            {"ready\n", "fail unknown call: READY or STATS\n"},
-            {"\n", "fail unknown call: READY or STATS\n"},
+            {"ready\n", "fail unknown call: READY, STATS or PEERS\n"},
+            {"\n", "fail unknown call: READY, STATS or PEERS\n"},
             {"x".repeat(65), "fail a call is one line of at most 64 characters\n"},
-            {"GET / HTTP/1.1\r\n\r\n", "fail unknown call: READY or STATS\n"},
+            {"GET / HTTP/1.1\r\n\r\n", "fail unknown call: READY, STATS or PEERS\n"},
         };
     }
 
@@ -147,7 +147,7 @@
         InetSocketAddress taken = discovery.listen();
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         Config config = new Config("n0", any, taken, taken, null, 1024, Double.NaN, null,
-                new World.Given().settings(), 0.5, 10, 2);
+                new World.Given().settings(), 0.5, 10, 2, null);
         String message = expectThrows(ConfigException.class, () -> new Service(config).start()).getMessage();
         assertTrue(message.contains("'admin'"), message);
     }
--- a/daemon/src/test/java/wheelroute/net/ReplacementTest.java
+++ b/daemon/src/test/java/wheelroute/net/ReplacementTest.java
@@ -56,7 +56,7 @@
     private Service another(Path directory, int clientsPort) {
         InetSocketAddress shared = new InetSocketAddress(InetAddress.getLoopbackAddress(), clientsPort);
         return new Service(new Config("n0", shared, config.discovery(), config.admin(), directory, sockets,
-                Double.NaN, config.known(), config.settings(), 0.5, 10, longest));
+                Double.NaN, config.known(), config.settings(), 0.5, 10, longest, null));
     }
 
     /** The harness's own listens where the system likes; one on a known address is put in its place. */
@@ -130,7 +130,10 @@
         assertEquals(call(next, "READY\n"), "ok ready\n");
     }
 
-    /** Half of the places are the other's from the moment it is there: room is made then, not as clients come. */
+    /**
+     * Half of the places are the other's from the moment it is there: room is made then, not as clients
+     * come.
+     */
     @Test(timeOut = PATIENCE)
     public void roomIsMadeAtOnceForTwo() throws Exception {
         sockets = 72;
--- a/daemon/src/test/java/wheelroute/net/ServiceHarness.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceHarness.java
@@ -172,7 +172,7 @@
         Settings settings = given.settings();
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         config = new Config("n0", any, discovery.listen(), hasDoor ? any : null, meeting, sockets,
-                Double.NaN, known.getBytes(StandardCharsets.UTF_8), settings, 0.5, 10, longest);
+                Double.NaN, known.getBytes(StandardCharsets.UTF_8), settings, 0.5, 10, longest, null);
         service = new Service(config);
         service.start();
         port = service.port();
@@ -180,7 +180,7 @@
 
     protected Config config(InetSocketAddress otherDiscovery) {
         return new Config("n0", config.listen(), otherDiscovery, config.admin(), null, config.sockets(),
-                config.memory(), config.known(), config.settings(), 0.5, 10, longest);
+                config.memory(), config.known(), config.settings(), 0.5, 10, longest, null);
     }
 
     protected void serve(Effect effect, String... answers) throws Exception {
--- a/kit/src/main/java/wheelroute/kit/audit/Ledger.java
+++ b/kit/src/main/java/wheelroute/kit/audit/Ledger.java
@@ -10,8 +10,8 @@
 import wheelroute.kit.world.Timeline;
 
 /**
- * Holds the figures of the operators' doors against what clients and workers saw. Processes count from 0, also
- * those that take another's place: what the two of one dispatcher tell together is compared.
+ * Holds the figures of the operators' doors against what clients and workers saw. Processes count from 0,
+ * also those that take another's place: what the two of one dispatcher tell together is compared.
  */
 public final class Ledger {
     /** What is told may be so old, or as much ahead of what a client has heard. */
--- a/kit/src/main/java/wheelroute/kit/cli/Admin.java
+++ b/kit/src/main/java/wheelroute/kit/cli/Admin.java
@@ -24,7 +24,7 @@
     @Parameters(index = "0", paramLabel = "HOST:PORT", description = "the door's address")
     private String address;
 
-    @Parameters(index = "1", paramLabel = "CALL", description = "READY or STATS")
+    @Parameters(index = "1", paramLabel = "CALL", description = "READY, STATS or PEERS")
     private String call;
 
     @Option(names = "--timeout", defaultValue = "1", paramLabel = "S",
@@ -36,6 +36,11 @@
 
     @Override
     public Integer call() throws Exception {
+        return ask(spec, address, call, timeout);
+    }
+
+    /** Prints what the door answers; a no ends with 3. */
+    static int ask(CommandSpec spec, String address, String call, double timeout) throws Fault {
         InetSocketAddress door = ConfigReader.parse(address);
         if (door == null) {
             throw new Fault("HOST:PORT: " + address + " is no address");
@@ -46,7 +51,7 @@
         if (!(timeout >= 0.01 && timeout <= 60)) {
             throw new Fault("--timeout: " + timeout + " is not from 0.01 to 60");
         }
-        String answer = ask(door);
+        String answer = answer(door, address, call, timeout);
         String last = answer.substring(answer.lastIndexOf('\n', answer.length() - 2) + 1).strip();
         boolean says = answer.startsWith("ok") || answer.startsWith("fail");
         if (!answer.endsWith("\n") || !says && !last.equals("eof")) {
@@ -57,7 +62,8 @@
         return answer.startsWith("fail") ? Exit.DOES_NOT_HOLD : Exit.HOLDS;
     }
 
-    private String ask(InetSocketAddress door) throws Fault {
+    private static String answer(InetSocketAddress door, String address, String call, double timeout)
+            throws Fault {
         long end = System.nanoTime() + (long) (timeout * 1e9);
         try (Socket socket = new Socket()) {
             socket.connect(door, left(end));
--- a/kit/src/main/java/wheelroute/kit/cli/Rehearse.java
+++ b/kit/src/main/java/wheelroute/kit/cli/Rehearse.java
@@ -78,8 +78,8 @@
             + " clock all cores, on the real one 1)")
     private Integer cores;
 
-    @Option(names = "--cut-down", paramLabel = "FILE", description = "the first run that does not hold is made"
-            + " smaller, as long as it still does not, and written there as a scenario")
+    @Option(names = "--cut-down", paramLabel = "FILE", description = "the first run that does not hold is"
+            + " made smaller, as long as it still does not, and written there as a scenario")
     private Path cutDown;
 
     @Option(names = "--json", paramLabel = "FILE", description = "the reports for machines")
@@ -137,8 +137,8 @@
         }
     }
 
-    private int play(List<Plan> plans, OutputFile jsonFile, OutputFile htmlFile, OutputFile cutFile, Stop stop,
-            PrintWriter out) throws Exception {
+    private int play(List<Plan> plans, OutputFile jsonFile, OutputFile htmlFile, OutputFile cutFile,
+            Stop stop, PrintWriter out) throws Exception {
         PrintWriter err = spec.commandLine().getErr();
         List<Report> reports = new ArrayList<>();
         List<List<Report>> rounds = new ArrayList<>();
@@ -209,8 +209,9 @@
                             + report.judgement().name().toLowerCase(Locale.ROOT));
                     return !stop.getAsBoolean() && report.judgement() == Report.Judgement.DOES_NOT_HOLD;
                 });
-                file.write("# Seed " + item.seed() + ", cut down from " + whole.faults().size() + " faults in "
-                        + result.plays() + " plays" + (result.whole() ? "" : ", not to its end")
+                file.write("# Seed " + item.seed() + ", cut down from " + whole.faults().size()
+                        + " faults in " + result.plays() + " plays"
+                        + (result.whole() ? "" : ", not to its end")
                         + ": play it with this seed.\n"
                         + ScenarioWriter.text(whole.with(result.faults())));
                 out.println(item.text() + ": cut down to " + result.faults().size() + " of "
--- a/kit/src/main/java/wheelroute/kit/experiment/Matrix.java
+++ b/kit/src/main/java/wheelroute/kit/experiment/Matrix.java
@@ -87,7 +87,8 @@
         Variant variant = item.variant();
         if (plan.clock() == Plan.Clock.REAL) {
             return RealRun.play(item.scenario(), item.seed(), item.seconds(), variant.settings(),
-                    variant.name(), variant.jar(), plan.older(), stop, text -> progress.accept(item.text() + ": " + text));
+                    variant.name(), variant.jar(), plan.older(), stop,
+                    text -> progress.accept(item.text() + ": " + text));
         }
         return VirtualRun.play(item.scenario(), item.seed(), item.seconds(), variant.settings(),
                 variant.name(), world -> Brains.maker(variant.brain(), world), stop);
--- a/kit/src/main/java/wheelroute/kit/many/Harm.java
+++ b/kit/src/main/java/wheelroute/kit/many/Harm.java
@@ -12,7 +12,9 @@
     ONE_WAY,
     /** What the others send arrives, the dispatcher's bytes do not. */
     UNHEARD,
-    /** Everything comes later, in both directions, by the level in seconds, and by chance up to the spread. */
+    /**
+     * Everything comes later, in both directions, by the level in seconds, and by chance up to the spread.
+     */
     SLOW,
     /** Of all pieces the part that the level says is lost: bytes are sent again later, datagrams are not. */
     LOSS,
--- a/kit/src/main/java/wheelroute/kit/real/DaemonProcess.java
+++ b/kit/src/main/java/wheelroute/kit/real/DaemonProcess.java
@@ -37,6 +37,7 @@
 
     private static final Pattern LISTENS = Pattern.compile("listens on .*:(\\d+)$");
     private static final Pattern DOOR = Pattern.compile("operators call .*:(\\d+)$");
+    private static final Pattern PEERS = Pattern.compile("peers are heard at .*:(\\d+), as");
     private static final String JAR = "daemon/target/wheelroute.jar";
     private static final String ARCHIVE = "daemon/target/serve.jsa";
     /** How long it may take to say that it is well, once it listens. */
@@ -49,6 +50,7 @@
     private final Process process;
     private volatile int port;
     private volatile int door;
+    private volatile int peers;
     /** Nobody has asked it to end. */
     private volatile boolean wanted = true;
 
@@ -121,6 +123,10 @@
                 if (doorAt.find()) {
                     door = Integer.parseInt(doorAt.group(1));
                 }
+                Matcher peersAt = PEERS.matcher(line);
+                if (peersAt.find()) {
+                    peers = Integer.parseInt(peersAt.group(1));
+                }
                 Matcher listensAt = LISTENS.matcher(line);
                 if (!listens && listensAt.find()) {
                     listens = true;
@@ -187,6 +193,11 @@
         return door;
     }
 
+    /** Where it hears peers; 0 where it does not. */
+    int peers() {
+        return peers;
+    }
+
     boolean isWanted() {
         return wanted;
     }
--- a/kit/src/main/java/wheelroute/kit/real/Fleet.java
+++ b/kit/src/main/java/wheelroute/kit/real/Fleet.java
@@ -67,6 +67,7 @@
     private final Path jar;
     private final Path older;
     private final IntFunction<InetSocketAddress> lists;
+    private final IntFunction<List<String>> peers;
     private final Hearer hearer;
     private final Path folder;
     private final Keeper keeper;
@@ -97,7 +98,8 @@
     }
 
     Fleet(Loop loop, Scenario scenario, Chance chance, Map<String, String> pairs, Path jar, Path older,
-            IntFunction<InetSocketAddress> lists, Hearer hearer) throws IOException {
+            IntFunction<InetSocketAddress> lists, IntFunction<List<String>> peers, Hearer hearer)
+            throws IOException {
         this.loop = loop;
         this.scenario = scenario;
         this.chance = chance;
@@ -105,6 +107,7 @@
         this.jar = jar;
         this.older = older;
         this.lists = lists;
+        this.peers = peers;
         this.hearer = hearer;
         folder = Files.createTempDirectory("wheelroute");
         keeper = new Keeper();
@@ -127,6 +130,13 @@
         return List.copyOf(places.get(dispatcher).alive);
     }
 
+    /** Where its newest process hears peers; null while there is none. */
+    InetSocketAddress peersOf(int dispatcher) {
+        Place place = places.get(dispatcher);
+        DaemonProcess speaks = place.next != null && place.next.peers() != 0 ? place.next : place.current;
+        return speaks == null || speaks.peers() == 0 ? null : address(speaks.peers());
+    }
+
     boolean isStill(int dispatcher) {
         return places.get(dispatcher).paused;
     }
@@ -177,7 +187,8 @@
             Path config = place.home.resolve("config-" + place.starts + ".json");
             long seed = chance.key(Chance.Of.BRAIN, place.number, place.starts++);
             Files.writeString(config, DaemonSettings.file("n" + place.number, seed,
-                    scenario.limits().memoryMb(), scenario.limits().sockets(), own));
+                    scenario.limits().memoryMb(), scenario.limits().sockets(), own,
+                    peers.apply(place.number)));
             Path from = how == Scenario.How.OLDER && older != null ? older : jar;
             DaemonProcess process = DaemonProcess.start(new DaemonProcess.Spec("n" + place.number, config,
                     lists.apply(place.number), place.port, place.home, from, heapMb()), keeper,
--- a/kit/src/main/java/wheelroute/kit/real/Keeper.java
+++ b/kit/src/main/java/wheelroute/kit/real/Keeper.java
@@ -6,9 +6,9 @@
 
 /**
  * Sends signals to processes, and ends those that are left should this one die without a word: one shell,
- * whose standard input is a pipe from here. The JDK has no word for stopping a process, and a shell of its own
- * for each signal would cost more than the signal. When the pipe ends, for whatever reason, all that is kept is
- * killed, also what stands still just then.
+ * whose standard input is a pipe from here. The JDK has no word for stopping a process, and a shell of its
+ * own for each signal would cost more than the signal. When the pipe ends, for whatever reason, all that is
+ * kept is killed, also what stands still just then.
  */
 final class Keeper implements AutoCloseable {
     /** It outlives a ^C that reaches the whole group: it must see our end, and clear up after it. */
--- a/kit/src/main/java/wheelroute/kit/real/RealRun.java
+++ b/kit/src/main/java/wheelroute/kit/real/RealRun.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.HdrHistogram.Histogram;
 import wheelroute.config.ConfigException;
 import wheelroute.kit.audit.Auditor;
@@ -54,9 +55,13 @@
     /** No message of ours is larger: what a slow way may add to it. */
     private static final int MESSAGE_SIZE = 1000;
 
+    /** The key of a variant whose dispatchers do not know each other. */
+    private static final String NO_PEERS = "no_peers";
+
     private final Scenario scenario;
     private final double seconds;
     private final Map<String, String> pairs;
+    private final boolean peers;
     private final Path jar;
     private final Path older;
     private final Chance chance;
@@ -65,6 +70,7 @@
     private final ClientPool[] pools;
     private final boolean[] listens;
     private final CompletableFuture<Void> allUp = new CompletableFuture<>();
+    private final List<String> peersWrong = new ArrayList<>();
     private final ListCalls listCalls = new ListCalls();
     private final Histogram lags = new Histogram(MOST_MICROS, 3);
     private Auditor auditor;
@@ -87,7 +93,11 @@
         this.jar = jar;
         this.older = older;
         chance = new Chance(seed);
-        pairs = DaemonSettings.pairs(scenario, variant);
+        // A variant may do without, to be compared with.
+        peers = scenario.peers() && !variant.containsKey(NO_PEERS);
+        Map<String, String> settings = new LinkedHashMap<>(variant);
+        settings.remove(NO_PEERS);
+        pairs = DaemonSettings.pairs(scenario, settings);
         pools = new ClientPool[scenario.dispatchers()];
         listens = new boolean[scenario.dispatchers()];
     }
@@ -201,7 +211,12 @@
                     anyPort(), listCalls, () -> ways.isOpen(Way.toList(dispatcher)));
             discoveries[i] = ways.toList(i, list);
         }
-        fleet = new Fleet(loop, scenario, chance, pairs, jar, older, i -> discoveries[i], new Processes());
+        List<List<String>> books = new ArrayList<>();
+        for (int i = 0; i < scenario.dispatchers(); i++) {
+            books.add(peers ? ways.toPeers(i, n -> fleet.peersOf(n)) : List.of());
+        }
+        fleet = new Fleet(loop, scenario, chance, pairs, jar, older, i -> discoveries[i], books::get,
+                new Processes());
         crowd = new Crowd(loop, i -> listens[i] ? pools[i].address() : null);
     }
 
@@ -240,12 +255,37 @@
 
     private void look() {
         if (clients.isOver()) {
+            if (peers) {
+                askWhoIsThere();
+            }
             loop.later(AFTERWARDS, () -> over = true);
         } else {
             loop.later(TICK, this::look);
         }
     }
 
+    /** Each is to hold just those to be there that are. */
+    private void askWhoIsThere() {
+        for (int i = 0; i < scenario.dispatchers(); i++) {
+            int dispatcher = i;
+            for (DaemonProcess process : fleet.processes(i)) {
+                if (process.door() == 0 || fleet.isStill(i)) {
+                    continue;
+                }
+                DoorCall.ask(loop, Fleet.address(process.door()), "PEERS", AFTERWARDS / 2, answer -> {
+                    long there = answer == null ? 0 : answer.lines().filter(line -> line.matches(
+                            "\\S+ \\d+ (alive|suspect) .*")).count();
+                    long up = IntStream.range(0, scenario.dispatchers())
+                            .filter(n -> listens[n]).count();
+                    if (there != up) {
+                        peersWrong.add("n" + dispatcher + " holds " + there + " of " + up + " to be there: "
+                                + (answer == null ? "no answer" : answer.replace("\n", "; ")));
+                    }
+                });
+            }
+        }
+    }
+
     /** How late this machine runs our own timers. */
     private void tick(double due) {
         loop.later(due - loop.now(), () -> {
@@ -313,6 +353,7 @@
         figures.put(Figures.UNTRUE, ledger.untruePart());
         figures.put(Figures.DOORS_LATE, ledger.latePart());
         figures.put(Figures.NOT_REPLACED, (double) fleet.notReplaced());
+        figures.put(Figures.PEERS_WRONG, (double) peersWrong.size());
         List<String> notes = new ArrayList<>();
         notes.add(String.format(Locale.ROOT, "calls for the list: %d, %d in the busiest second",
                 listCalls.all(), listCalls.most()));
@@ -320,6 +361,7 @@
                 + " untrue; doors late: %.2f%%", ledger.checks(), 100 * ledger.untruePart(),
                 100 * ledger.latePart()));
         ledger.untrue().forEach(line -> notes.add("  " + line));
+        notes.addAll(peersWrong);
         if (fleet.replacements() > 0) {
             notes.add(fleet.replacements() + " replacements begun, " + fleet.notReplaced()
                     + " not through in time");
--- a/kit/src/main/java/wheelroute/kit/real/Ways.java
+++ b/kit/src/main/java/wheelroute/kit/real/Ways.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntFunction;
+import wheelroute.kit.many.DatagramRelay;
 import wheelroute.kit.many.Links;
 import wheelroute.kit.many.Passage;
 import wheelroute.kit.many.Relay;
@@ -27,6 +30,7 @@
     private final List<Scenario.WorkerGroup> groups;
     private final int dispatchers;
     private final Map<Way, Relay> relays = new HashMap<>();
+    private final Map<Way, DatagramRelay> datagrams = new HashMap<>();
     private final Map<Integer, InetSocketAddress> clients = new HashMap<>();
     private final Links links = new Links(this::changed);
     private long pieces;
@@ -37,7 +41,8 @@
         this.groups = groups;
         dispatchers = scenario.dispatchers();
         this.hearer = hearer;
-        relayed = scenario.faults().stream().anyMatch(f -> f.kind().isAboutWays());
+        relayed = scenario.faults().stream().anyMatch(f -> f.kind().isAboutWays()
+                && f.ends() != Scenario.Ends.PEERS);
     }
 
     boolean areRelayed() {
@@ -82,6 +87,23 @@
         return relays.get(way).address();
     }
 
+    /** The addresses of all dispatchers as this one knows them: each is a way of its own. */
+    List<String> toPeers(int dispatcher, IntFunction<InetSocketAddress> far) throws IOException {
+        List<String> book = new ArrayList<>();
+        for (int i = 0; i < dispatchers; i++) {
+            int peer = i;
+            DatagramRelay relay = new DatagramRelay(loop, () -> far.apply(peer), this::draw);
+            datagrams.put(Way.toPeer(dispatcher, peer), relay);
+            DatagramRelay back = datagrams.get(Way.toPeer(peer, dispatcher));
+            if (back != null) {
+                relay.pairedWith(back);
+                back.pairedWith(relay);
+            }
+            book.add(relay.address().getAddress().getHostAddress() + ":" + relay.address().getPort());
+        }
+        return book;
+    }
+
     boolean isOpen(Way way) {
         return links.passage(way).equals(Passage.OPEN);
     }
@@ -92,6 +114,14 @@
 
     private void changed(Way way, Passage passage) {
         hearer.changes(way, passage);
+        if (way.isToPeer()) {
+            Way back = Way.toPeer(way.peer(), way.dispatcher());
+            if (datagrams.containsKey(way)) {
+                datagrams.get(way).set(passage, links.passage(back));
+                datagrams.get(back).set(links.passage(back), passage);
+            }
+            return;
+        }
         Relay relay = relays.get(way);
         // One that has never been up has no way to it yet.
         if (relay != null) {
--- a/kit/src/main/java/wheelroute/kit/scenario/DaemonSettings.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/DaemonSettings.java
@@ -6,6 +6,7 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import wheelroute.config.ConfigException;
@@ -68,9 +69,12 @@
         return SettingsReader.read(seed, all);
     }
 
-    /** A daemon's whole configuration file. */
+    /**
+     * A daemon's whole configuration file; peers are the others' addresses for it, and none where it has
+     * none.
+     */
     public static String file(String name, long seed, double memoryMb, int sockets, Map<String,
-            String> pairs) {
+            String> pairs, List<String> peers) {
         StringWriter out = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(out)) {
             json.writeStartObject();
@@ -80,6 +84,17 @@
             json.writeNumberField("memory_mb", (long) memoryMb);
             json.writeNumberField("sockets", sockets);
             json.writeEndObject();
+            if (!peers.isEmpty()) {
+                json.writeObjectFieldStart("peering");
+                json.writeStringField("listen", "127.0.0.1:0");
+                json.writeStringField("cluster", "rehearsal");
+                json.writeArrayFieldStart("addresses");
+                for (String peer : peers) {
+                    json.writeString(peer);
+                }
+                json.writeEndArray();
+                json.writeEndObject();
+            }
             json.writeFieldName("settings");
             write(json, tree(pairs));
             json.writeEndObject();
--- a/kit/src/main/java/wheelroute/kit/scenario/Figures.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/Figures.java
@@ -22,11 +22,14 @@
     public static final String DOORS_LATE = "doors_late";
     /** Replacements that were not through in time. */
     public static final String NOT_REPLACED = "not_replaced";
+    /** Dispatchers that do not hold just those to be there that are, as the asks end. */
+    public static final String PEERS_WRONG = "peers_wrong";
     /** The service of one offering or tenant: the name follows. */
     public static final String OFFERING = "offering:";
     public static final String TENANT = "tenant:";
     static final String KNOWN = String.join(", ", SERVICE, IN_TIME, BOUNCED, SCRAPPED, UNANSWERED, BREACHES,
-            LAUNCHES, P50, P99, P999, LIST_CALLS, UNTRUE, DOORS_LATE, NOT_REPLACED, OFFERING + "NAME", TENANT + "NAME");
+            LAUNCHES, P50, P99, P999, LIST_CALLS, UNTRUE, DOORS_LATE, NOT_REPLACED,
+            PEERS_WRONG, OFFERING + "NAME", TENANT + "NAME");
 
     private Figures() {
     }
@@ -34,7 +37,7 @@
     static boolean isKnown(String name) {
         return switch (name) {
             case SERVICE, IN_TIME, BOUNCED, SCRAPPED, UNANSWERED, BREACHES, LAUNCHES, P50, P99, P999,
-                LIST_CALLS, UNTRUE, DOORS_LATE, NOT_REPLACED -> true;
+                LIST_CALLS, UNTRUE, DOORS_LATE, NOT_REPLACED, PEERS_WRONG -> true;
             default -> name.startsWith(OFFERING) || name.startsWith(TENANT);
         };
     }
--- a/kit/src/main/java/wheelroute/kit/scenario/Library.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/Library.java
@@ -12,7 +12,8 @@
     /** In the order in which they are listed: the first is the one played when none is named. */
     public static final List<String> NAMES = List.of("closing-prices", "calm", "failures-overlap",
             "drain-in-burst", "rolling-deploy", "vanish", "overload", "late-list", "dispatcher-restart",
-            "hundred", "many-kill", "many-pause", "many-cut", "replace", "figures", "crowd", "drawn");
+            "hundred", "many-kill", "many-pause", "many-cut", "replace", "figures", "crowd", "drawn",
+            "peers-crash", "peers-split", "peers-slow", "peers-rejoin");
     private static final String FOLDER = "/wheelroute/kit/scenarios/";
 
     private Library() {
--- a/kit/src/main/java/wheelroute/kit/scenario/Scenario.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/Scenario.java
@@ -12,11 +12,12 @@
  * @param cycle load and faults begin anew after so long
  * @param clocks the names of the clocks that can play it
  * @param zones of the dispatchers, dealt to them in turn; empty: all stand in the first workers' zone
+ * @param peers whether dispatchers know each other; real clock only
  * @param drawn faults that chance adds, by the seed alone
  * @param changed settings of processes that are started with another configuration
  */
 public record Scenario(String name, String title, double seconds, double cycle, List<String> clocks,
-        int dispatchers, List<String> zones, Limits limits, List<WorkerGroup> groups,
+        int dispatchers, List<String> zones, boolean peers, Limits limits, List<WorkerGroup> groups,
         List<Offering> offerings, List<Tenant> tenants, List<LoadPoint> load, Clients clients,
         Network network, Terms terms, List<Fault> faults, Drawn drawn, List<Expectation> expectations,
         Map<String, String> overrides, Map<String, String> changed) {
@@ -261,7 +262,7 @@
 
     /** The same, with other faults and none drawn. */
     public Scenario with(List<Fault> others) {
-        return new Scenario(name, title, seconds, cycle, clocks, dispatchers, zones, limits, groups,
+        return new Scenario(name, title, seconds, cycle, clocks, dispatchers, zones, peers, limits, groups,
                 offerings, tenants, load, clients, network, terms, List.copyOf(others), Drawn.NONE,
                 expectations, overrides, changed);
     }
--- a/kit/src/main/java/wheelroute/kit/scenario/ScenarioReader.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/ScenarioReader.java
@@ -74,6 +74,10 @@
         root.tables("workers").forEach(f -> groups.add(group(f)));
         List<String> zones = run.texts("zones", List.of(), groups.stream().map(Scenario.WorkerGroup::zone)
                 .distinct().toList());
+        boolean peers = run.flag("peers", false);
+        if (peers && clocks.contains("virtual")) {
+            run.fault("peers", "need processes: run.clocks must be [\"real\"]");
+        }
         run.done();
         Scenario.Limits limits = limits(root.table("limits"));
         List<Scenario.Offering> offerings = new ArrayList<>();
@@ -106,7 +110,7 @@
         if (groups.stream().mapToInt(Scenario.WorkerGroup::count).sum() > MOST_WORKERS) {
             root.fault("workers", "are more than " + MOST_WORKERS);
         }
-        return new Scenario(name, title, seconds, cycle, clocks, dispatchers, zones, limits, groups,
+        return new Scenario(name, title, seconds, cycle, clocks, dispatchers, zones, peers, limits, groups,
                 offerings, tenants, load, clients, network, terms, events, drawn, expectations, overrides,
                 changed);
     }
@@ -205,7 +209,8 @@
         List<String> words = open.stream().map(TomlFields::word).toList();
         List<String> kinds = f.texts("kinds", words, words);
         Scenario.Drawn drawn = new Scenario.Drawn(f.whole("faults", 0, 0, 100),
-                f.number("longest", Math.min(4, cycle / 2), Draw.SHORTEST, Math.max(Draw.SHORTEST, cycle / 2)),
+                f.number("longest", Math.min(4, cycle / 2), Draw.SHORTEST,
+                        Math.max(Draw.SHORTEST, cycle / 2)),
                 open.stream().filter(kind -> kinds.contains(TomlFields.word(kind))).toList());
         f.done();
         return drawn.faults() == 0 ? Scenario.Drawn.NONE : drawn;
--- a/kit/src/main/java/wheelroute/kit/scenario/ScenarioWriter.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/ScenarioWriter.java
@@ -23,7 +23,8 @@
     private void write(Scenario s) {
         text("title", s.title());
         table("run").number("seconds", s.seconds()).number("cycle", s.cycle()).texts("clocks", s.clocks())
-                .number("dispatchers", s.dispatchers()).texts("zones", s.zones());
+                .number("dispatchers", s.dispatchers()).texts("zones", s.zones())
+                .flag("peers", s.peers());
         table("limits").number("memory_mb", s.limits().memoryMb()).number("sockets", s.limits().sockets());
         s.groups().forEach(this::write);
         s.offerings().forEach(this::write);
--- a/kit/src/main/java/wheelroute/kit/virtual/VirtualRun.java
+++ b/kit/src/main/java/wheelroute/kit/virtual/VirtualRun.java
@@ -48,7 +48,8 @@
         Brain.Maker brains = maker.apply(world);
         for (int i = 0; i < scenario.dispatchers(); i++) {
             dispatchers.add(new VirtualDispatcher(i, world, DaemonSettings.settings(
-                    chance.key(Chance.Of.BRAIN, i, 0), DaemonSettings.pairsOf(scenario, i, pairs)), brains, auditor));
+                    chance.key(Chance.Of.BRAIN, i, 0), DaemonSettings.pairsOf(scenario, i, pairs)), brains,
+                    auditor));
         }
         Clients clients = new Clients(scenario, time, chance, seconds, door(dispatchers), recorder);
         dispatchers.forEach(dispatcher -> dispatcher.clients(clients));
--- a/kit/src/main/java/wheelroute/kit/world/World.java
+++ b/kit/src/main/java/wheelroute/kit/world/World.java
@@ -60,7 +60,9 @@
     public final Registry registry;
     public final List<WorkerModel> workers = new ArrayList<>();
     public final List<Happening> happenings;
-    /** By dispatcher, the faults that keep it down, or still: it is up again when the last of them is over. */
+    /**
+     * By dispatcher, the faults that keep it down, or still: it is up again when the last of them is over.
+     */
     private final Map<Integer, Set<Happening>> downs = new HashMap<>();
     private final Map<Integer, Set<Happening>> pauses = new HashMap<>();
     private final Map<Integer, Set<Happening>> hungers = new HashMap<>();
--- a/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
+++ b/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
@@ -228,7 +228,7 @@
                 p.pass(0.3);
                 p.launch(NEAR);
             }),
-            rogue("has its effect twice, as its clients' way is harmed", Rule.NO_EFFECT_TWICE, "once", "", p -> {
+            rogue("has its effect twice on a harmed way", Rule.NO_EFFECT_TWICE, "once", "", p -> {
                 p.auditor.clientsHarmed(0, true);
                 p.launch(NEAR);
                 p.pass(0.1);
@@ -363,7 +363,7 @@
                         p.pass(0.2);
                         p.answer(Answer.FULFILLED);
                     })},
-            {rogue("gets it late over a harmed way, and launches when its client is long gone", null, "free", "",
+            {rogue("gets it late over a harmed way, and launches when nobody waits", null, "free", "",
                     p -> {
                         p.auditor.clientsHarmed(0, true);
                         p.pass(3.5);
--- a/kit/src/test/java/wheelroute/kit/cli/AdminTest.java
+++ b/kit/src/test/java/wheelroute/kit/cli/AdminTest.java
@@ -50,6 +50,22 @@
         }
     }
 
+    /** The same door, by a name of its own. */
+    @Test(timeOut = PATIENCE)
+    public void peersAsksWhoIsThere() throws Exception {
+        try (ServerSocket door = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<String> asked = new CompletableFuture<>();
+            Thread thread = new Thread(() -> serve(door, "n0 0 alive itself\neof\n", asked));
+            thread.setDaemon(true);
+            thread.start();
+            StringWriter said = new StringWriter();
+            assertEquals(CommandLineTest.run(said, "peers", "127.0.0.1:" + door.getLocalPort(), "--timeout",
+                    "10"), Exit.HOLDS, said.toString());
+            assertEquals(said.toString(), "n0 0 alive itself\neof\n");
+            assertEquals(asked.get(), "PEERS");
+        }
+    }
+
     private static void serve(ServerSocket door, String answer, CompletableFuture<String> asked) {
         try (Socket caller = door.accept()) {
             asked.complete(new BufferedReader(new InputStreamReader(caller.getInputStream(),
--- a/kit/src/test/java/wheelroute/kit/many/DatagramRelayTest.java
+++ b/kit/src/test/java/wheelroute/kit/many/DatagramRelayTest.java
@@ -8,20 +8,15 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import wheelroute.net.Clock;
 import wheelroute.net.Datagrams;
-import wheelroute.net.Loop;
 
 /** A pair of ways for datagrams on loopback sockets: what passes, what is lost, late, doubled. */
-public class DatagramRelayTest {
-    private static final int PATIENCE = 10_000;
+public class DatagramRelayTest extends LoopHarness {
     private static final double FULL = Double.POSITIVE_INFINITY;
     private static final Passage CUT = new Passage(false, false, false, 0, 0, 0, FULL, 0);
     private static final Passage HEARD_ONLY = new Passage(false, true, false, 0, 0, 0, FULL, 0);
@@ -31,28 +26,11 @@
 
     private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
     private volatile double chance = 0;
-    private Loop loop;
     private Datagrams near;
     private Datagrams far;
     private DatagramRelay forth;
     private DatagramRelay back;
 
-    private interface Step<T> {
-        T run() throws Exception;
-    }
-
-    private <T> T onLoop(Step<T> step) throws Exception {
-        CompletableFuture<T> done = new CompletableFuture<>();
-        loop.post(() -> {
-            try {
-                done.complete(step.run());
-            } catch (Exception e) {
-                done.completeExceptionally(e);
-            }
-        });
-        return done.get(PATIENCE, TimeUnit.MILLISECONDS);
-    }
-
     private Datagrams socket(String name) throws Exception {
         return new Datagrams(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256,
                 (from, bytes) -> heard.add(name + " " + StandardCharsets.UTF_8.decode(bytes) + " "
@@ -62,8 +40,7 @@
     @BeforeMethod
     public void begin() throws Exception {
         heard.clear();
-        loop = new Loop(new Clock(), 1);
-        loop.start();
+        startLoop();
         onLoop(() -> {
             near = socket("near");
             far = socket("far");
@@ -118,8 +95,8 @@
 
     /** What passes is followed by one on an open way: whatever had not come by then is lost. */
     @Test(dataProvider = "harms", timeOut = 4 * PATIENCE)
-    public void whatPassesIsAsManyAsItShouldBe(Passage nears, Passage fars, double draw, int there, int hither)
-            throws Exception {
+    public void whatPassesIsAsManyAsItShouldBe(Passage nears, Passage fars, double draw, int there,
+            int hither) throws Exception {
         chance = draw;
         set(nears, fars);
         long from = System.nanoTime();
--- a/kit/src/test/java/wheelroute/kit/many/LinksTest.java
+++ b/kit/src/test/java/wheelroute/kit/many/LinksTest.java
@@ -30,7 +30,8 @@
             {List.of(Harm.UNHEARD, Harm.ONE_WAY), SHUT},
             {List.of(Harm.LOSS, Harm.LOSS), new Passage(false, true, true, 0, 0, 0.4375, FULL, 0)},
             {List.of(Harm.TRICKLE, Harm.LOSS), new Passage(false, true, true, 0, 0, 0.25, 0.25, 0)},
-            {List.of(Harm.REFUSE, Harm.CUT, Harm.SLOW), new Passage(true, false, false, 0.25, 0.5, 0, FULL, 0)},
+            {List.of(Harm.REFUSE, Harm.CUT, Harm.SLOW),
+                new Passage(true, false, false, 0.25, 0.5, 0, FULL, 0)},
         };
     }
 
--- /dev/null
+++ b/kit/src/test/java/wheelroute/kit/many/LoopHarness.java
@@ -0,0 +1,34 @@
+package wheelroute.kit.many;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import wheelroute.net.Clock;
+import wheelroute.net.Loop;
+
+/** A loop for what belongs on its thread. */
+abstract class LoopHarness {
+    protected static final int PATIENCE = 10_000;
+    protected Loop loop;
+
+    /** Something that is done on the loop's thread. */
+    protected interface Step<T> {
+        T run() throws Exception;
+    }
+
+    protected void startLoop() throws Exception {
+        loop = new Loop(new Clock(), 1);
+        loop.start();
+    }
+
+    protected <T> T onLoop(Step<T> step) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.post(() -> {
+            try {
+                done.complete(step.run());
+            } catch (Exception e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(PATIENCE, TimeUnit.MILLISECONDS);
+    }
+}
--- a/kit/src/test/java/wheelroute/kit/many/RelayTest.java
+++ b/kit/src/test/java/wheelroute/kit/many/RelayTest.java
@@ -14,18 +14,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import wheelroute.net.Clock;
-import wheelroute.net.Loop;
 
 /** A relay on loopback sockets, between a client and a far end that sends back what it hears. */
-public class RelayTest {
-    private static final int PATIENCE = 10_000;
+public class RelayTest extends LoopHarness {
     /** Long enough that what passes would have come: a read that times out is what is asserted. */
     private static final int SILENCE = 300;
     private static final Passage SHUT = new Passage(false, false, false, 0, 0, 0,
@@ -36,7 +31,6 @@
             Double.POSITIVE_INFINITY, 0);
 
     private final List<AutoCloseable> open = new ArrayList<>();
-    private Loop loop;
     private Relay relay;
     private ServerSocket far;
     private volatile long heard;
@@ -45,8 +39,7 @@
     @BeforeMethod
     public void begin() throws Exception {
         heard = 0;
-        loop = new Loop(new Clock(), 1);
-        loop.start();
+        startLoop();
         far = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         open.add(far);
         Thread echo = new Thread(() -> {
@@ -83,22 +76,6 @@
         }
     }
 
-    private interface Step<T> {
-        T run() throws Exception;
-    }
-
-    private <T> T onLoop(Step<T> step) throws Exception {
-        CompletableFuture<T> done = new CompletableFuture<>();
-        loop.post(() -> {
-            try {
-                done.complete(step.run());
-            } catch (Exception e) {
-                done.completeExceptionally(e);
-            }
-        });
-        return done.get(PATIENCE, TimeUnit.MILLISECONDS);
-    }
-
     private void set(Passage passage) throws Exception {
         onLoop(() -> {
             relay.set(passage);
--- a/kit/src/test/java/wheelroute/kit/real/ManyTest.java
+++ b/kit/src/test/java/wheelroute/kit/real/ManyTest.java
@@ -9,6 +9,7 @@
 import wheelroute.kit.report.Report;
 import wheelroute.kit.report.TableWriter;
 import wheelroute.kit.scenario.Figures;
+import wheelroute.kit.scenario.ScenarioReader;
 
 /** Five processes of the program at once, and each kind of fault between them. */
 public class ManyTest {
@@ -70,4 +71,34 @@
         assertEquals(report.figures().get(Figures.UNTRUE), 0.0, TableWriter.text(report));
         assertTrue(report.keepsRules(), TableWriter.text(report));
     }
+
+    private static final int MEMBERS = 7;
+
+    @DataProvider
+    public Object[][] amongPeers() {
+        return new Object[][] {
+            {fault("dispatcher-kill", 0.5, 1, "share = 0.3\nwithin = 0.5")
+                    + fault("crash", 1, 1, "group = \"near\"\nshare = 0.5")
+                    + fault("link-loss", 2, 2, "to = \"peers\"\nlevel = 0.3")},
+            {fault("link-cut", 0.5, 2, "to = \"peers\"\nshare = 0.4")
+                    + fault("link-one-way", 2.5, 1, "to = \"peers\"\nshare = 0.2\npick = 1")
+                    + fault("crash", 1, 1, "group = \"far\"\nshare = 0.5")},
+            {fault("dispatcher-pause", 0.5, 1.5, "share = 0.3")
+                    + fault("dispatcher-replace", 0.6, 4, "share = 0.3\npick = 1")
+                    + fault("dispatcher-replace", 0.7, 4, "share = 0.1\npick = 3\nhow = \"new-killed\"")
+                    + fault("link-double", 0.5, 4, "to = \"peers\"\nlevel = 0.5")
+                    + fault("link-slow", 0.5, 4, "to = \"peers\"\nlevel = 0.02\nspread = 0.1\npick = 2")},
+        };
+    }
+
+    /** Dispatchers that know each other, and lose each other: the rules hold, and at the end all agree. */
+    @Test(dataProvider = "amongPeers")
+    public void peersKeepTheRulesAndAgreeInTheEnd(String faults) throws Exception {
+        Report report = Judged.play(ScenarioReader.read("peers", Small.TEXT
+                .replace("cycle = 5", "cycle = 20\nclocks = [\"real\"]\npeers = true")
+                .replace("dispatchers = 1", "dispatchers = " + MEMBERS) + faults), 5, 12);
+        assertTrue(report.keepsRules(), TableWriter.text(report));
+        assertEquals(report.figures().get(Figures.PEERS_WRONG), 0.0, TableWriter.text(report));
+        assertTrue(report.total().inTime() > report.total().asked() / 3, TableWriter.text(report));
+    }
 }
--- a/kit/src/test/java/wheelroute/kit/scenario/DrawTest.java
+++ b/kit/src/test/java/wheelroute/kit/scenario/DrawTest.java
@@ -28,7 +28,9 @@
         assertEquals(Draw.drawn(real(""), 4), real(""));
     }
 
-    /** Whatever is drawn lies inside the cycle, can be played, and would be taken from a person's file too. */
+    /**
+     * Whatever is drawn lies inside the cycle, can be played, and would be taken from a person's file too.
+     */
     @Test
     public void whatIsDrawnIsSoundAndComesBackFromItsFile() throws Exception {
         Scenario scenario = real(DRAWN + "[[faults]]\nkind = \"burst\"\nat = 1\nfor = 1\n");
@@ -74,7 +76,8 @@
                 + "[[faults]]\nkind = \"link-slow\"\nat = 1\nfor = 1\nto = \"clients\"\nspread = 0.0125\n"
                 + "[[faults]]\nkind = \"dispatcher-replace\"\nat = 1\nfor = 1\nhow = \"old-killed\"\n"
                 + "[[faults]]\nkind = \"link-cut\"\nat = 1\nfor = 1\nzone = \"b\"\nwithin = 0.5\n"
-                + "[[faults]]\nkind = \"link-double\"\nat = 1\nfor = 1\nto = \"peers\"\nothers = 0.5\n").stream())
+                + "[[faults]]\nkind = \"link-double\"\nat = 1\nfor = 1\nto = \"peers\"\nothers = 0.5\n")
+                .stream())
                 .map(name -> new Object[] {name}).toArray(Object[][]::new);
     }
 
--- a/kit/src/test/java/wheelroute/kit/scenario/ScenarioReaderTest.java
+++ b/kit/src/test/java/wheelroute/kit/scenario/ScenarioReaderTest.java
@@ -118,7 +118,7 @@
         assertEquals(settings.quotas().size(), 1);
         assertEquals(settings.offerings().get(1).window(), 1.0);
         Path file = Files.createTempFile("daemon", ".json");
-        Files.writeString(file, DaemonSettings.file("n0", 3, 192, 512, pairs));
+        Files.writeString(file, DaemonSettings.file("n0", 3, 192, 512, pairs, List.of()));
         var config = wheelroute.config.ConfigReader.read(Map.of("LB_CONFIG", file.toString(), "LB_LISTEN",
                 "127.0.0.1:0", "LB_DISCOVERY", "127.0.0.1:1"));
         assertEquals(config.settings(), settings);
