--- a/daemon/src/main/java/wheelroute/limits/Places.java
+++ b/daemon/src/main/java/wheelroute/limits/Places.java
@@ -35,6 +35,8 @@
 
     /** A message comes at once, or goes on at once, from most; who is silent for less is not yet silent. */
     public static final double SILENT = 0.15;
+    /** Who is slow to write goes on within this; who stops in the middle for longer holds up no end. */
+    private static final double PAUSE = 1;
     /** Over this part of the places that has not spoken yet is a crowd of strangers. */
     private static final double CROWD_PART = 0.5;
 
@@ -85,11 +87,11 @@
     }
 
     /**
-     * Whether somebody may be about to hand over a message: one has begun, or was accepted a moment ago. A
-     * process that ends now would cut it off unheard.
+     * Whether somebody may be about to hand over a message: one has begun and went on lately, or was accepted
+     * a moment ago. A process that ends now would cut it off unheard.
      */
     public boolean expects(double time) {
-        return !stages.get(Stage.BEGUN).isEmpty()
+        return stages.get(Stage.BEGUN).values().stream().anyMatch(since -> time - since < PAUSE)
                 || stages.get(Stage.UNKNOWN).values().stream().anyMatch(since -> time - since < SILENT);
     }
 
--- a/kit/src/main/java/wheelroute/kit/experiment/Matrix.java
+++ b/kit/src/main/java/wheelroute/kit/experiment/Matrix.java
@@ -49,9 +49,10 @@
                 try {
                     long begun = System.nanoTime();
                     Report report = play(item);
-                    progress.accept(String.format(Locale.ROOT, "%d of %d runs played: %s, %d asks in %.2f s",
-                            done.incrementAndGet(), items.size(), item.text(), report.total().asked(),
-                            (System.nanoTime() - begun) / NANOS));
+                    progress.accept(String.format(Locale.ROOT, "%d of %d runs played: %s, %d asks in %.2f s,"
+                            + " %s", done.incrementAndGet(), items.size(), item.text(),
+                            report.total().asked(), (System.nanoTime() - begun) / NANOS,
+                            report.judgement().name().toLowerCase(Locale.ROOT).replace('_', ' ')));
                     return report;
                 } catch (ConfigException | RehearsalException | RuntimeException e) {
                     failed.set(true);
