--- a/kit/src/main/java/wheelroute/kit/real/Fleet.java
+++ b/kit/src/main/java/wheelroute/kit/real/Fleet.java
@@ -39,8 +39,8 @@
         /** All of its processes are gone; what they held is lost. */
         void down(int dispatcher);
 
-        /** One of its two processes is to be killed now, or both stand still: what they hold may be lost. */
-        void halves(int dispatcher);
+        /** One of its two processes is killed from here until it is gone, or both stand still for a while. */
+        void halves(int dispatcher, boolean begins);
 
         /** It ended, and nobody had told it to; it is started again, as a supervisor would. */
         void crashed(int dispatcher, String lastWords);
@@ -59,6 +59,8 @@
     /** The first process of a replacement that is killed dies within this of its start. */
     private static final double NEW_KILLED_WITHIN = 0.6;
     private static final double BOTH_STOPPED = 1;
+    /** The signal takes a moment, and what the process then reads another one. */
+    private static final double GOES_ON = 0.1;
 
     private final Loop loop;
     private final Scenario scenario;
@@ -88,6 +90,8 @@
         double share = 1;
         boolean paused;
         boolean hungry;
+        /** Killed while another one goes on, and not gone yet. */
+        DaemonProcess killedBeside;
         /** To be started once the last process is gone; null for not. */
         Scenario.How startsAs;
 
@@ -210,6 +214,10 @@
     private void gone(Place place, DaemonProcess process) {
         place.alive.remove(process);
         hearer.ended(place.number, process);
+        if (process == place.killedBeside) {
+            place.killedBeside = null;
+            hearer.halves(place.number, false);
+        }
         boolean crashed = process.isWanted();
         if (crashed && place.port == 0) {
             hearer.failed("dispatcher n" + place.number + " did not start; " + process.lastLines());
@@ -309,8 +317,7 @@
             loop.later(after, () -> {
                 if (place.next == next) {
                     place.next = null;
-                    hearer.halves(dispatcher);
-                    next.kill();
+                    killBeside(place, next);
                 }
             });
             return;
@@ -326,8 +333,7 @@
         if (loop.now() > due) {
             notReplaced++;
             place.next = null;
-            hearer.halves(place.number);
-            next.kill();
+            killBeside(place, next);
             return;
         }
         Runnable again = () -> loop.later(READY_LOOK, () -> awaitReady(place, old, next, how, due));
@@ -348,29 +354,35 @@
         place.current = next;
         place.next = null;
         if (how == Scenario.How.BOTH_STOPPED) {
-            hearer.halves(place.number);
+            hearer.halves(place.number, true);
             pause(place.number, true);
             loop.later(BOTH_STOPPED, () -> {
                 if (place.current == next && place.paused) {
                     pause(place.number, false);
+                    loop.later(GOES_ON, () -> hearer.halves(place.number, false));
                     endOld(place, old, due);
                 }
             });
         } else if (how == Scenario.How.OLD_KILLED) {
-            hearer.halves(place.number);
-            old.kill();
+            killBeside(place, old);
         } else {
             endOld(place, old, due);
         }
     }
 
+    /** The other one goes on. */
+    private void killBeside(Place place, DaemonProcess process) {
+        place.killedBeside = process;
+        hearer.halves(place.number, true);
+        process.kill();
+    }
+
     private void endOld(Place place, DaemonProcess old, double due) {
         old.end();
         loop.later(Math.max(0, due - loop.now()), () -> {
             if (place.alive.contains(old)) {
                 notReplaced++;
-                hearer.halves(place.number);
-                old.kill();
+                killBeside(place, old);
             }
         });
     }
--- a/kit/src/main/java/wheelroute/kit/real/RealRun.java
+++ b/kit/src/main/java/wheelroute/kit/real/RealRun.java
@@ -422,9 +422,9 @@
         }
 
         @Override
-        public void halves(int dispatcher) {
+        public void halves(int dispatcher, boolean begins) {
             // Which of its connections were that one's the kernel alone knows.
-            auditor.dispatcherHalved(dispatcher);
+            auditor.dispatcherHalved(dispatcher, begins);
             pools[dispatcher].severed();
             ledger.unsure(dispatcher);
         }
--- a/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
+++ b/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
@@ -118,6 +118,7 @@
                 p.answer(Answer.SCRAPPED);
             }),
             rogue("stands still, and launches too late as it goes on", Rule.ONE_ANSWER, "free", "", p -> {
+                p.pass(0.03);
                 p.auditor.dispatcherPaused(0);
                 p.pass(2.3);
                 p.auditor.gaveUp(p.submitted, false);
@@ -214,6 +215,13 @@
                 p.world.workers.get(FAR).arrive(new Launch(later.key(), 0.05, 1, 0, NOBODY));
             }),
             rogue("ends, and nobody told it to", Rule.STAYS_UP, "free", "", p -> p.auditor.crashed(0, "")),
+            rogue("drops one when its other process is long gone", Rule.ONE_ANSWER, "free", "", p -> {
+                p.auditor.dispatcherHalved(0, true);
+                p.auditor.dispatcherHalved(0, false);
+                Submitted next = later(p, 0.1);
+                p.auditor.sent(next);
+                p.auditor.cutOff(next);
+            }),
             rogue("launches later than its slow way explains", Rule.ONE_ANSWER, "free", "", p -> {
                 p.auditor.wayLater(0, NEAR, 1);
                 p.answer(Answer.BOUNCED);
@@ -378,6 +386,21 @@
                 p.pass(0.9);
                 p.launch(NEAR);
             })},
+            {rogue("is stopped in the turn in which it launches", null, "once", "", p -> {
+                p.pass(0.01);
+                p.auditor.dispatcherPaused(0);
+                p.pass(2.5);
+                p.auditor.gaveUp(p.submitted, false);
+                p.auditor.dispatcherWoke(0);
+                p.launch(NEAR);
+            })},
+            {rogue("is handed it as one of its two processes dies", null, "once", "", p -> {
+                p.auditor.dispatcherHalved(0, true);
+                Submitted next = later(p, 0.01);
+                p.auditor.sent(next);
+                p.auditor.dispatcherHalved(0, false);
+                p.auditor.cutOff(next);
+            })},
             {rogue("has no room for one more connection", null, "free", "", p -> {
                 p.auditor.refused(p.submitted);
                 p.pass(3);
