A process notes its own number before it becomes a daemon: none outlives a rig that is killed

Seen: the process still ran, and was not on its keeper's list. Ruled out: the keeper's end (its pipe had ended, other processes were killed). At fault: Keeper.keep, which told the shell of a process only after it had been started; a rig that is killed in between tells nobody.

Change: a process is started through a line of shell that notes its number in the run's folder and then looks for the keeper's mark of its end, before it becomes the daemon; the keeper makes the mark and then reads the notes. So one of the two sees the other. The folder is cleared up with patience, as notes of ended processes go at the same time.

--- a/kit/src/main/java/wheelroute/kit/real/DaemonProcess.java
+++ b/kit/src/main/java/wheelroute/kit/real/DaemonProcess.java
@@ -90,8 +90,7 @@
         builder.environment().put("LB_DISCOVERY", host() + ":" + spec.discovery.getPort());
         builder.environment().put("LB_ADMIN", host() + ":0");
         builder.environment().put("TMPDIR", spec.temporary.toString());
-        DaemonProcess daemon = new DaemonProcess(spec, builder.start(), port);
-        keeper.keep(daemon.process);
+        DaemonProcess daemon = new DaemonProcess(spec, keeper.start(builder), port);
         Thread reader = new Thread(() -> daemon.read(hearer), spec.name + "-log");
         reader.setDaemon(true);
         reader.start();
--- a/kit/src/main/java/wheelroute/kit/real/Fleet.java
+++ b/kit/src/main/java/wheelroute/kit/real/Fleet.java
@@ -53,6 +53,7 @@
     /** One that was told to end and is not gone by then is killed, as the platform would. */
     private static final double GONE = 6;
     private static final int CLOSE_SECONDS = 6;
+    private static final int DELETE_TRIES = 5;
     private static final double READY_LOOK = 0.05;
     /** A starved process is let run and stopped in turn, once in each of these: short against any limit. */
     private static final double HUNGER_ROUND = 0.02;
@@ -114,7 +115,7 @@
         this.peers = peers;
         this.hearer = hearer;
         folder = Files.createTempDirectory("wheelroute");
-        keeper = new Keeper();
+        keeper = new Keeper(folder);
         for (int i = 0; i < scenario.dispatchers(); i++) {
             places.add(new Place(i));
         }
@@ -411,14 +412,17 @@
         delete(folder);
     }
 
+    /** Notes of processes that ended a moment ago may go at the same time: then once more. */
     private static void delete(Path folder) {
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(file);
+        for (int i = 0; i < DELETE_TRIES && Files.exists(folder); i++) {
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.deleteIfExists(file);
+                }
+            } catch (IOException | UncheckedIOException e) {
+                // It lies where the system clears up.
+                folder.toFile().deleteOnExit();
             }
-        } catch (IOException e) {
-            // It lies where the system clears up.
-            folder.toFile().deleteOnExit();
         }
     }
 }
--- a/kit/src/main/java/wheelroute/kit/real/Keeper.java
+++ b/kit/src/main/java/wheelroute/kit/real/Keeper.java
@@ -2,6 +2,9 @@
 
 import java.io.BufferedWriter;
 import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -14,41 +17,41 @@
     /** It outlives a ^C that reaches the whole group: it must see our end, and clear up after it. */
     private static final String SCRIPT = """
             trap '' INT TERM HUP
-            kept=
             while read -r word pid; do
-                case $word in
-                    keep) kept="$kept $pid" ;;
-                    drop)
-                        rest=
-                        for one in $kept; do [ "$one" = "$pid" ] || rest="$rest $one"; done
-                        kept=$rest ;;
-                    *) kill -"$word" "$pid" 2> /dev/null ;;
-                esac
+                kill -"$word" "$pid" 2> /dev/null
+            done
+            : > "$0/closed"
+            for file in "$0"/*.pid; do
+                [ -f "$file" ] && read -r pid < "$file" && kill -KILL "$pid" 2> /dev/null
             done
-            for one in $kept; do kill -KILL "$one" 2> /dev/null; done
             """;
+    /**
+     * A process notes its number before it becomes what it is to be, and then looks whether it is too late:
+     * either the shell above finds the note, or this finds its mark. Noted from here it could be missed.
+     */
+    private static final String NOTED = "echo $$ > \"$0/$$.pid\"; [ ! -e \"$0/closed\" ] || exit 1;"
+            + " exec \"$@\"";
     private static final int END_SECONDS = 5;
 
+    private final Path folder;
     private final Process shell;
     private final BufferedWriter words;
 
-    Keeper() throws IOException {
-        shell = new ProcessBuilder("sh", "-c", SCRIPT).redirectErrorStream(true).start();
+    /** Notes lie in this folder, which is nobody else's. */
+    Keeper(Path folder) throws IOException {
+        this.folder = folder;
+        shell = new ProcessBuilder("sh", "-c", SCRIPT, folder.toString()).redirectErrorStream(true).start();
         words = shell.outputWriter();
     }
 
-    /** Should this process die first, that one goes with it. */
-    void keep(Process process) throws IOException {
-        say("keep", process);
+    /** Should this process die first, the one started goes with it. */
+    Process start(ProcessBuilder builder) throws IOException {
+        List<String> command = new ArrayList<>(List.of("sh", "-c", NOTED, folder.toString()));
+        command.addAll(builder.command());
+        Process process = builder.command(command).start();
         // Its number may be another's soon.
-        process.onExit().thenRun(() -> {
-            try {
-                say("drop", process);
-            } catch (IOException e) {
-                // The shell has gone, and what it was kept for with it.
-                return;
-            }
-        });
+        process.onExit().thenRun(() -> folder.resolve(process.pid() + ".pid").toFile().delete());
+        return process;
     }
 
     /** Stands still, or goes on. */
@@ -63,12 +66,7 @@
         words.flush();
     }
 
-    /** The number of the shell, for those who look what is left of a run. */
-    long pid() {
-        return shell.pid();
-    }
-
-    /** Whatever is kept still is killed. */
+    /** Whatever still runs is killed. */
     @Override
     public void close() {
         try {
--- a/kit/src/test/java/wheelroute/kit/real/KeeperTest.java
+++ b/kit/src/test/java/wheelroute/kit/real/KeeperTest.java
@@ -7,7 +7,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Processes that are signalled, and that do not outlive who started them. */
@@ -15,9 +17,15 @@
     private static final int PATIENCE = 20;
     private Process kept;
     private Process rig;
+    private Path folder;
 
-    private static Process sleeper() throws Exception {
-        return new ProcessBuilder("sleep", "600").start();
+    @BeforeMethod
+    public void begin() throws Exception {
+        folder = Files.createTempDirectory("keeper");
+    }
+
+    private static Process sleeper(Keeper keeper) throws Exception {
+        return keeper.start(new ProcessBuilder("sleep", "600"));
     }
 
     /** The letter that the kernel has for its state, once it is the one expected or patience is over. */
@@ -35,9 +43,8 @@
 
     @Test
     public void aProcessStandsStillAndGoesOn() throws Exception {
-        kept = sleeper();
-        try (Keeper keeper = new Keeper()) {
-            keeper.keep(kept);
+        try (Keeper keeper = new Keeper(folder)) {
+            kept = sleeper(keeper);
             keeper.pause(kept, true);
             assertEquals(state(kept, 'T'), 'T');
             keeper.pause(kept, false);
@@ -48,16 +55,19 @@
     /** Also one that stands still as its keeper goes. */
     @Test
     public void whatIsKeptGoesWithItsKeeper() throws Exception {
-        kept = sleeper();
-        Process other = sleeper();
-        Keeper keeper = new Keeper();
-        keeper.keep(kept);
-        keeper.keep(other);
+        Keeper keeper = new Keeper(folder);
+        kept = sleeper(keeper);
+        Process other = sleeper(keeper);
+        assertEquals(state(kept, 'S'), 'S');
         keeper.pause(kept, true);
         other.destroy();
         assertTrue(other.waitFor(PATIENCE, TimeUnit.SECONDS));
         keeper.close();
         assertTrue(kept.waitFor(PATIENCE, TimeUnit.SECONDS), "it outlived its keeper");
+        // One that is late, as its starter was killed in the middle of starting it, does not even begin.
+        rig = keeper.start(new ProcessBuilder("sleep", "600"));
+        assertTrue(rig.waitFor(PATIENCE, TimeUnit.SECONDS), "it began after its keeper had gone");
+        assertEquals(rig.exitValue(), 1);
     }
 
     /** The rig itself is killed, which it cannot see coming: nothing it started is left. */
@@ -84,11 +94,17 @@
     }
 
     @AfterMethod(alwaysRun = true)
-    public void end() {
+    public void end() throws Exception {
         for (Process process : new Process[] {kept, rig}) {
             if (process != null) {
-                process.destroyForcibly();
+                process.destroyForcibly().waitFor();
+            }
+        }
+        try (Stream<Path> left = Files.list(folder)) {
+            for (Path file : left.toList()) {
+                Files.deleteIfExists(file);
             }
         }
+        Files.deleteIfExists(folder);
     }
 }
