Last reading: what nothing calls is gone, one reader of lists of texts, one bound on a name

Need: read again, the change held methods that nothing calls (Votes.promised, Membership's count of wrong verdicts, two of net.peers.Peers, DaemonProcess.spec), a second loop over a list of texts beside TomlFields.texts, and the bound on a peer's name written twice.

Change: the first are taken out; both readings of texts are one loop with another test; ConfigReader takes the bound from PeerId. Behaviour and messages are as before.

--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import wheelroute.decision.Settings;
+import wheelroute.peers.PeerId;
 
 /**
  * Reads the environment and the file that it names. At the start the environment's own values go before the
@@ -167,8 +168,9 @@
         if (settings.position() < 0 || settings.position() >= addresses.size()) {
             throw new ConfigException("peering", "needs this dispatcher's position among them");
         }
-        if (!value("LB_NAME", "name").matches("[!-~]{1,40}")) {
-            throw new ConfigException("name", "is longer than 40 plain characters, which peers need");
+        if (!value("LB_NAME", "name").matches("[!-~]{1," + PeerId.MOST_BYTES + "}")) {
+            throw new ConfigException("name", "is longer than " + PeerId.MOST_BYTES
+                    + " plain characters, which peers need");
         }
         return new Peering(file.getOrDefault("peering.cluster", ""), address("", "peering.listen"),
                 List.copyOf(addresses), settings.position());
--- a/daemon/src/main/java/wheelroute/config/TomlFields.java
+++ b/daemon/src/main/java/wheelroute/config/TomlFields.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlPosition;
@@ -134,6 +135,15 @@
     }
 
     public List<String> texts(String key, List<String> usual, List<String> allowed) {
+        return texts(key, usual, allowed::contains, "none of " + String.join(", ", allowed));
+    }
+
+    /** Whatever texts are listed there. */
+    public List<String> anyTexts(String key) {
+        return texts(key, List.of(), text -> true, "not a text");
+    }
+
+    private List<String> texts(String key, List<String> usual, Predicate<String> allowed, String otherwise) {
         Object value = value(key);
         if (value == null) {
             return usual;
@@ -144,28 +154,10 @@
             return usual;
         }
         for (Object item : ((TomlArray) value).toList()) {
-            if (item instanceof String && allowed.contains(item)) {
-                texts.add((String) item);
-            } else {
-                fault(key, "has an item that is none of " + String.join(", ", allowed) + ": " + item);
-            }
-        }
-        return texts;
-    }
-
-    /** Whatever texts are listed there. */
-    public List<String> anyTexts(String key) {
-        Object value = value(key);
-        if (value != null && !(value instanceof TomlArray)) {
-            fault(key, "is not a list");
-            return List.of();
-        }
-        List<String> texts = new ArrayList<>();
-        for (Object item : value == null ? List.of() : ((TomlArray) value).toList()) {
-            if (item instanceof String text) {
+            if (item instanceof String text && allowed.test(text)) {
                 texts.add(text);
             } else {
-                fault(key, "has an item that is not a text: " + item);
+                fault(key, "has an item that is " + otherwise + ": " + item);
             }
         }
         return texts;
--- a/daemon/src/main/java/wheelroute/net/peers/Peers.java
+++ b/daemon/src/main/java/wheelroute/net/peers/Peers.java
@@ -267,14 +267,4 @@
                 malformed));
         return out.toString();
     }
-
-    /** How many dispatchers are there, with this one. */
-    public int there() {
-        return membership.there();
-    }
-
-    /** The port at which datagrams are heard. */
-    public int port() {
-        return socket.address().getPort();
-    }
 }
--- a/daemon/src/main/java/wheelroute/peers/Membership.java
+++ b/daemon/src/main/java/wheelroute/peers/Membership.java
@@ -87,7 +87,6 @@
     private double compareAt;
     private boolean differed;
     private boolean passesOn = true;
-    private int wrongVerdicts;
 
     /** Another dispatcher. */
     private static final class Known {
@@ -197,11 +196,6 @@
         return doubt;
     }
 
-    /** Times that somebody whom we had given up contradicted, in the same life. */
-    public int wrongVerdicts() {
-        return wrongVerdicts;
-    }
-
     // ---- events
 
     /** Before each event. */
@@ -461,10 +455,6 @@
         }
         Sighting before = one.sighting;
         if (said.outweighs(before)) {
-            if (!before.state().isThere() && said.state().isThere() && before.state() == Sighting.State.DEAD
-                    && said.place().equals(before.place())) {
-                wrongVerdicts++;
-            }
             change(one, said, before, by);
         } else if (said.state() == Sighting.State.SUSPECT && said.life() == before.life()
                 && before.state() == Sighting.State.SUSPECT && !one.words.contains(said.by())
--- a/daemon/src/main/java/wheelroute/peers/Votes.java
+++ b/daemon/src/main/java/wheelroute/peers/Votes.java
@@ -69,9 +69,4 @@
         other.promises.putAll(promises);
         other.speaksFrom = speaksFrom;
     }
-
-    /** For how many shares somebody has its word. */
-    public int promised(double now) {
-        return (int) promises.values().stream().filter(promise -> now < promise.until).count();
-    }
 }
--- a/kit/src/main/java/wheelroute/kit/real/DaemonProcess.java
+++ b/kit/src/main/java/wheelroute/kit/real/DaemonProcess.java
@@ -174,10 +174,6 @@
         }
     }
 
-    Spec spec() {
-        return spec;
-    }
-
     Process process() {
         return process;
     }
