A silent watch on the list is opened anew at once, before its news count as told

What it missed counts as told at 7 s, and 0.5 s later sends must have stopped. Three of six asked at the start got a 503, so dispatchers in step also wait for each other's turns.

Now: calls hold 3 to 3.8 s, spread by the seed; silence 1 s later; then one call at once that holds nothing, and for 2 s failures wait 0.2 s. Only a silence of a held call begins that haste, so a discovery that stays silent is asked as seldom as before. A watch that worked and is reset is opened anew at once too. Where the settings say that lists are pushed, no failure is waited out: pauses of up to 8 s stood against news that count as told unasked. The figures at the end are written down by the loop's own thread.

Tests hold the clock still (StepClock, HeldLoop), so that a pause would never end; without the mend: "expected [GET /v1/servers?from=5&hold_ms=0 HTTP/1.1] but found [nothing came]" (and the same for a reset and for pushed lists). ServiceTest's fixed hold of 5 s became a check of the spread.

--- a/daemon/src/main/java/wheelroute/config/Config.java
+++ b/daemon/src/main/java/wheelroute/config/Config.java
@@ -18,11 +18,13 @@
  * @param connectLimit a connection that is not up after this is given up
  * @param idleLimit a worker closes a connection that has been idle so long
  * @param longestOuterLimit no submission waits longer
+ * @param listIsPushed what discovery's agent knows counts as told, whether or not it was asked for
  * @param peers how it knows the other dispatchers; null where it does not
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
         InetSocketAddress admin, Path meeting, int sockets, double memory, byte[] known, Settings settings,
-        double connectLimit, double idleLimit, double longestOuterLimit, Peering peers) {
+        double connectLimit, double idleLimit, double longestOuterLimit, boolean listIsPushed,
+        Peering peers) {
     /** The keys by which another configuration differs in what is used only at the start. */
     public List<String> waitingForRestart(Config other) {
         List<String> keys = new ArrayList<>();
@@ -34,6 +36,7 @@
         differs(keys, "settings", settings, other.settings.withSeed(settings.seed()));
         differs(keys, "settings.permissions.connect_timeout_us", connectLimit, other.connectLimit);
         differs(keys, "settings.permissions.conn_idle_us", idleLimit, other.idleLimit);
+        differs(keys, "settings.membership_mode", listIsPushed, other.listIsPushed);
         differs(keys, "peering", peers, other.peers);
         differs(keys, "settings.request_classes", longestOuterLimit, other.longestOuterLimit);
         return keys;
--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -115,6 +115,7 @@
                 pairs.put(key.substring("settings.".length()), value);
             }
         });
+        boolean listIsPushed = "push".equals(pairs.get("membership_mode"));
         // On sockets the list comes only to who asks, however the bench's wire would bring it.
         pairs.put("membership_mode", "ask");
         SettingsReader reader = new SettingsReader(pairs);
@@ -143,7 +144,8 @@
                 address(discovery, "discovery"), admin, admin == null ? null : meeting(), (int) sockets,
                 memory, known, settings,
                 positive(connect, reader.seconds(connect, USUAL_CONNECT)),
-                positive(idle, reader.seconds(idle, USUAL_IDLE)), longest, peering(settings));
+                positive(idle, reader.seconds(idle, USUAL_IDLE)), longest, listIsPushed,
+                peering(settings));
     }
 
     /**
--- a/daemon/src/main/java/wheelroute/net/Clock.java
+++ b/daemon/src/main/java/wheelroute/net/Clock.java
@@ -1,7 +1,7 @@
 package wheelroute.net;
 
 /** Unix time in seconds. The wall clock is read once: a step of it must not move what is under way. */
-public final class Clock {
+public class Clock {
     private static final double MILLIS = 1e3;
     private static final double NANOS = 1e9;
 
--- a/daemon/src/main/java/wheelroute/net/Loop.java
+++ b/daemon/src/main/java/wheelroute/net/Loop.java
@@ -37,9 +37,11 @@
  * would hand its work to a pool; here its executor and its scheduler both lead back to the selector's own
  * thread, so that nothing above needs a lock and the order of events is the order in which they came.
  */
-public final class Loop {
+public class Loop {
     /** The largest read at once: most messages come in one, and a client may have one such read ahead. */
     private static final int READ_BUFFER = 16 * 1024;
+    /** For a look at what has come meanwhile: mostly nothing, or a connection's end. */
+    private static final int LOOK_BUFFER = 2 * 1024;
     /** Connections waiting to be accepted: a burst of clients must not be refused by the kernel. */
     private static final int BACKLOG = 512;
     /** Any wait that is not 0 takes the selector through a round. */
@@ -83,6 +85,7 @@
     private final Map<SocketAddress, Peer> listeners = new HashMap<>();
     private final ByteBuffer readBuffer = BufferUtil.allocateDirect(READ_BUFFER);
     private final ByteBuffer peekBuffer = BufferUtil.allocate(1);
+    private final ByteBuffer lookBuffer = BufferUtil.allocate(LOOK_BUFFER);
     private long lastTimer;
     private Thread thread;
     private volatile Selector selector;
@@ -133,6 +136,12 @@
         return peekBuffer;
     }
 
+    /** Empty, and apart from the others: a look at one connection may come while another's bytes are read. */
+    public ByteBuffer lookBuffer() {
+        BufferUtil.clear(lookBuffer);
+        return lookBuffer;
+    }
+
     /** Never fails at once: whoever connects may be in the middle of a decision. */
     public void connect(SocketAddress address, Peer peer) {
         SocketChannel channel = null;
@@ -257,6 +266,11 @@
         }
     }
 
+    /** For tests, which hold back what a connection would tell. */
+    protected EndPoint endPoint(SocketChannel channel, ManagedSelector s, SelectionKey key, Scheduler timers) {
+        return new SocketChannelEndPoint(channel, s, key, timers);
+    }
+
     private Peer peerAt(SocketAddress accepted) {
         Peer peer = listeners.get(accepted);
         // Listening on all addresses, it accepts on one of them.
@@ -347,7 +361,7 @@
         protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector s, SelectionKey key) {
             return channel instanceof DatagramChannel datagrams
                     ? new DatagramChannelEndPoint(datagrams, s, key, getScheduler())
-                    : new SocketChannelEndPoint((SocketChannel) channel, s, key, getScheduler());
+                    : endPoint((SocketChannel) channel, s, key, getScheduler());
         }
 
         @Override
--- a/daemon/src/main/java/wheelroute/net/Service.java
+++ b/daemon/src/main/java/wheelroute/net/Service.java
@@ -54,12 +54,19 @@
     /** Null where this dispatcher knows no others. */
     private Peers peers;
     private boolean listensToClients;
+    /** Written down by the loop's thread, which alone may read them. */
+    private volatile String lastFigures;
 
     public Service(Config config) {
+        this(config, new Loop(new Clock(), config.connectLimit()));
+    }
+
+    /** With a loop of the caller's, which may hold back what a test wants to come late. */
+    Service(Config config, Loop loop) {
         this.config = config;
+        this.loop = loop;
         discovery = config.discovery();
         counters = new Counters(config.settings().offerings().stream().map(Settings.Offering::id).toList());
-        loop = new Loop(new Clock(), config.connectLimit());
         workers = new Workers(loop, counters, part(WORKERS_PART), config.idleLimit());
         // Ahead of all else that may be posted: a signal can come before the start is through.
         loop.post(this::assembleFirst);
@@ -109,7 +116,7 @@
             version = known.version();
             exchanges.listed(known, true);
         }
-        exchanges.watch(new ListWatch(loop, discovery, counters, exchanges, version));
+        exchanges.watch(new ListWatch(loop, discovery, counters, exchanges, version, manner()));
         clients = new Clients(loop, exchanges, counters, part(CLIENTS_PART));
         exchanges.clients(clients);
         if (config.admin() != null) {
@@ -125,6 +132,10 @@
         }
     }
 
+    private ListWatch.Manner manner() {
+        return new ListWatch.Manner(config.settings().seed(), config.listIsPushed());
+    }
+
     private void joinPeers() throws ConfigException {
         try {
             peers = new Peers(loop, config.peers(), config.name(), config.settings().seed(),
@@ -226,7 +237,7 @@
         }
         discovery = fresh.discovery();
         LOG.info("read again: discovery is {} now", discovery);
-        ListWatch next = new ListWatch(loop, discovery, counters, exchanges, ListWatch.NOTHING);
+        ListWatch next = new ListWatch(loop, discovery, counters, exchanges, ListWatch.NOTHING, manner());
         exchanges.watch(next);
         next.hurry();
     }
@@ -235,10 +246,17 @@
     public void drain() throws Exception {
         loop.post(this::beginDrain);
         drained.await();
-        LOG.info("at the end\n{}", exchanges.metrics());
+        if (lastFigures != null) {
+            LOG.info("at the end\n{}", lastFigures);
+        }
         loop.stop();
     }
 
+    /** Null before the end. */
+    String figuresAtTheEnd() {
+        return lastFigures;
+    }
+
     private void beginDrain() {
         double end = loop.now() + Math.min(LONGEST_DRAIN, config.longestOuterLimit()) + SPARE;
         exchanges.drain(end);
@@ -281,6 +299,7 @@
         if (peers != null) {
             peers.leave();
         }
+        lastFigures = exchanges.metrics();
         drained.countDown();
     }
 
--- a/daemon/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/daemon/src/main/java/wheelroute/net/list/ListWatch.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.zip.CRC32;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -27,10 +28,17 @@
         void listFailed();
     }
 
-    /** Short enough that a dead discovery is noticed before what it could not tell counts as told. */
-    private static final int HOLD_MILLIS = 5000;
-    /** An answer this long after its hold is over is given up: after 2 s its news would count as told. */
-    private static final double SILENCE = 1.5;
+    /**
+     * What a silent watch does not tell counts as told 6 s after it fell silent. Of these a call holds 3 to 3.8,
+     * so that as much is left to notice it, to wait for a turn at discovery and to ask once more.
+     */
+    private static final int HOLD_MILLIS = 3000;
+    /** Dispatchers that start together would ask in step for ever, and wait for each other's answers. */
+    private static final int HOLD_SPREAD_MILLIS = 800;
+    /** An answer this long after its hold is over is given up. */
+    private static final double SILENCE = 1;
+    /** So long after a silence failures are not waited out, as the time for what it kept from us runs. */
+    private static final double CATCH_UP = 2;
     /** A call that holds nothing may still wait its turn at discovery, and has 6 s before its news count. */
     private static final double WHOLE_SILENCE = 3;
     /** Half of what may pass between two calls of one watch. */
@@ -57,13 +65,28 @@
     private Loop.Timer silence;
     private double hurryUntil = Double.NEGATIVE_INFINITY;
     private boolean stopped;
+    private final Manner manner;
+    private final CRC32 crc = new CRC32();
+    private long draws;
 
-    public ListWatch(Loop loop, InetSocketAddress address, Counters counters, Hearer hearer, long version) {
+    /**
+     * How it is to be asked.
+     *
+     * @param seed for the spread of its calls
+     * @param pushed it is an agent of this dispatcher's own, whose news count as told whether or not they were
+     *     asked for: then no failure is waited out
+     */
+    public record Manner(long seed, boolean pushed) {
+    }
+
+    public ListWatch(Loop loop, InetSocketAddress address, Counters counters, Hearer hearer, long version,
+            Manner manner) {
         this.loop = loop;
         this.address = address;
         this.counters = counters;
         this.hearer = hearer;
         this.version = version;
+        this.manner = manner;
         wantsWhole = version == NOTHING;
     }
 
@@ -110,21 +133,66 @@
             silence.cancel();
         }
         Call current = call;
-        silence = loop.later(limit, () -> failed(current, "silence"));
+        silence = loop.later(limit, () -> silent(current));
+    }
+
+    /** The watch is broken, and has to be opened anew before what it did not tell counts as told. */
+    private void silent(Call which) {
+        if (isFailed(which, "silence")) {
+            if (which.hold == 0) {
+                // It is not the one watch: discovery may have more to do than it can, and needs a pause.
+                failed();
+            } else {
+                hurryUntil = loop.now() + CATCH_UP;
+                watch();
+            }
+        }
     }
 
     private void failed(Call which, String why) {
+        if (isFailed(which, why)) {
+            failed();
+        }
+    }
+
+    private void failed() {
+        if (isInHurry() || manner.pushed) {
+            loop.later(HURRIED_PAUSE, this::watch);
+        } else {
+            hearer.listFailed();
+        }
+    }
+
+    /** A watch that worked ended without a word: what it would have told next should not wait for a pause. */
+    private void broken(Call which, String why) {
+        if (isFailed(which, why)) {
+            if (which.worked) {
+                watch();
+            } else {
+                failed();
+            }
+        }
+    }
+
+    private boolean isFailed(Call which, String why) {
         if (call == null || which != call) {
-            return;
+            return false;
         }
         LOG.info("a call for the list failed: {}", why);
         counters.count(Counters.Kind.LIST_FAILURES);
         drop();
+        return true;
+    }
+
+    /** How long the next call may wait at discovery, in milliseconds. */
+    private int hold() {
         if (isInHurry()) {
-            loop.later(HURRIED_PAUSE, this::watch);
-        } else {
-            hearer.listFailed();
+            // What is known there is wanted at once, and whether it answers at all.
+            return 0;
         }
+        crc.reset();
+        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(manner.seed).putLong(++draws).flip());
+        return HOLD_MILLIS + (int) (crc.getValue() % HOLD_SPREAD_MILLIS);
     }
 
     /** Takes an answer; true when it told something. */
@@ -153,6 +221,9 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private EndPoint endPoint;
         private double askedAt;
+        private double hold;
+        /** It has answered before. */
+        private boolean worked;
 
         @Override
         public Connection opened(EndPoint opened) {
@@ -178,9 +249,10 @@
             }
             counters.count(Counters.Kind.LIST_CALLS);
             askedAt = loop.now();
-            String changes = "?from=" + version + "&hold_ms=" + HOLD_MILLIS;
-            String target = "/v1/servers" + (wantsWhole ? "" : changes);
-            waitFor(wantsWhole ? wholeSilence() : HOLD_MILLIS / MILLIS + SILENCE);
+            int holdMillis = wantsWhole ? 0 : hold();
+            hold = holdMillis / MILLIS;
+            String target = "/v1/servers" + (wantsWhole ? "" : "?from=" + version + "&hold_ms=" + holdMillis);
+            waitFor(holdMillis == 0 ? wholeSilence() : hold + SILENCE);
             endPoint.write(Callback.from(() -> { }, cause -> loop.post(() -> failed(cause))),
                     new HttpText("GET " + target + " HTTP/1.1")
                     .field("Host", ConfigReader.text(address)).noBody());
@@ -207,6 +279,7 @@
         @Override
         public void end(boolean keepsOpen) throws IOException {
             boolean told = take(body.toByteArray());
+            worked = true;
             boolean early = loop.now() - askedAt < HOLD_MILLIS / MILLIS / 2;
             if (!told && early) {
                 // Guards against a discovery that does not hold: calls without a pause would be all it does.
@@ -228,6 +301,9 @@
                 close();
                 call = null;
                 watch();
+                if (call != null) {
+                    call.worked = true;
+                }
             }
         }
 
@@ -254,9 +330,14 @@
             }
 
             @Override
-            protected void atEnd() throws IOException {
-                parser.atEnd();
-                throw new IOException("the connection ended");
+            protected void atEnd() {
+                String why = "the connection ended";
+                try {
+                    parser.atEnd();
+                } catch (IOException e) {
+                    why = e.getMessage();
+                }
+                ListWatch.this.broken(Call.this, why);
             }
 
             @Override
