Nothing is sent on for a client that left, nor to a worker told to drain meanwhile

Read line by line, each shown by a test with real connections that fails without its mend (the failing line is quoted):

- Client that left: ClientConnection.wantsMore was false once bytes lay ahead, so the end behind them was seen at the outer limit only ("still out", five of eight cases).
Reading goes on under two bounds (Ahead).
The end may also lie unread when a launch breaks or a connection comes up: Exchange.launch and Station.Boarding look first ("launched again for nobody expected [2] but found [3]"; "expected [0] but found [1]" written).
- Late connections: Station.leave closed only what was idle; a launch that waited for a connection went out when that came up, up to connect_timeout_us after its worker was listed as draining ("sent to a worker that drains expected [0] but found [1]", five cases).
It ends unsent, after the decisions have the list, and is placed anew.
- Kept connections: a second answer without an id (500, or 503 with the mark) on a connection used again was taken for the new launch's ("on the connection that may still speak of the one before"): "never ran" of one that runs, or a second copy beside it ("it may run there still").
Bytes read while idle stayed in the parser ("kept with part of an answer").
What must not run twice now needs a connection silent for 0.1 s, for the rest a doubtful answer ends the connection first, and whatever an idle one says ends it.

Ruled out: Flight.isWritten against a partial write (the callback comes with the last byte), and Jetty's connect telling both its ends.

--- a/daemon/src/main/java/wheelroute/net/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/Exchange.java
@@ -22,21 +22,25 @@
     private final List<Launch> launches = new ArrayList<>(2);
     private final Loop.Timer limit;
     private Policy.Handle handle;
+    /** It has just been taken: that its client is there was seen a moment ago. */
+    private boolean beginning;
     private boolean answered;
 
     Exchange(Exchanges exchanges, Loop loop, Submission submission, ClientMessage message,
-            Submitters.Answers client) {
+            Submitters.Answers client, boolean onceOnly) {
         this.exchanges = exchanges;
         this.submission = submission;
         this.client = client;
         this.message = new LaunchMessage(message.method(), message.target(), message.id(), message.mark(),
-                message.routeKey(), message.body());
+                message.routeKey(), message.body(), onceOnly);
         limit = loop.later(submission.outerLimit() - loop.now(), this::outOfTime);
     }
 
     /** Decides where it goes. */
     void begin(Policy policy) {
+        beginning = true;
         handle = policy.take(submission);
+        beginning = false;
     }
 
     /** One launch, from its number to its end. */
@@ -54,6 +58,11 @@
             }
         }
 
+        @Override
+        public boolean isWanted() {
+            return !answered && !clientLeft();
+        }
+
         @Override
         public void started() {
             exchanges.turn(() -> handle.started(number));
@@ -80,7 +89,7 @@
     void launch(Ids.Worker worker) {
         Launch launch = new Launch(launches.size());
         launches.add(launch);
-        if (exchanges.hasEnded()) {
+        if (exchanges.hasEnded() || !beginning && clientLeft()) {
             launch.ended(End.ENDED_UNSENT, Launches.NO_RESULT, Double.NaN);
         } else {
             exchanges.counters().count(Counters.Kind.LAUNCHED);
@@ -88,6 +97,18 @@
         }
     }
 
+    /**
+     * Guards against work for nobody: while a submission waited for its turn, for another launch's end or for
+     * a connection, the client's end may lie unread behind what was read first.
+     */
+    private boolean clientLeft() {
+        boolean left = client.hasLeft();
+        if (left) {
+            clientGone();
+        }
+        return left;
+    }
+
     void cancel(int number) {
         launches.get(number).giveUp(End.CALLED_OFF);
     }
--- a/daemon/src/main/java/wheelroute/net/Exchanges.java
+++ b/daemon/src/main/java/wheelroute/net/Exchanges.java
@@ -166,7 +166,8 @@
         Submission submission = new Submission(new Ids.Submission(++lastSubmission), offering.id(), tenant,
                 limit, message.hint(), message.slots(), message.memory(), message.repeated(),
                 message.routeKey() == null ? null : new Ids.Key(message.routeKey()));
-        Exchange exchange = new Exchange(this, loop, submission, message, answers);
+        Exchange exchange = new Exchange(this, loop, submission, message, answers,
+                offering.effect() != Effect.IDEMPOTENT);
         open.put(submission.id(), exchange);
         openIds.add(message.id());
         if (handover != null) {
@@ -225,6 +226,7 @@
     void listed(WorkerList list, boolean remembered) {
         List<Listing> entries = new ArrayList<>();
         Map<String, Ids.Worker> lost = new HashMap<>();
+        List<Ids.Worker> draining = new ArrayList<>();
         if (list.whole()) {
             members.forEach((name, member) -> lost.put(name, member.worker));
         }
@@ -238,12 +240,16 @@
             } else {
                 lost.remove(entry.id());
                 workers.listed(worker, entry.address(), entry.startedAt());
+                if (entry.readiness() == Listing.Readiness.LEAVING) {
+                    draining.add(worker);
+                }
             }
             entries.add(new Listing(worker, new Ids.Model(entry.kind()), entry.weight(),
                     new Ids.Zone(entry.zone()), entry.startedAt(), new Ids.Cell(entry.cell()),
                     entry.readiness()));
         }
         turn(() -> policy.listed(entries, list.whole(), remembered));
+        workers.settle(draining);
         lost.forEach((name, worker) -> {
             workers.gone(worker);
             // Releases bring new names for ever; one that comes back is a new worker to the decisions.
--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -31,13 +31,14 @@
     private Loop.Timer patience;
     private boolean lingering;
     private boolean turnedAway;
-    /** What came before its turn, one read at most: nothing more is read until the answer is out. */
-    private ByteBuffer ahead;
+    /** What came before its turn. */
+    private final Ahead ahead;
 
     ClientConnection(EndPoint endPoint, Loop loop, Clients clients) {
         super(endPoint, loop);
         this.clients = clients;
         decoder = new ClientDecoder(clients.room());
+        ahead = new Ahead(clients.roomAhead());
     }
 
     @Override
@@ -62,7 +63,7 @@
 
     @Override
     protected boolean wantsMore() {
-        return ahead == null;
+        return !ahead.isFull();
     }
 
     @Override
@@ -85,7 +86,7 @@
 
     private void read(ByteBuffer in) {
         if (waiting) {
-            ahead = ByteBuffer.allocate(in.remaining()).put(in).flip();
+            ahead.add(in);
             return;
         }
         try {
@@ -103,8 +104,8 @@
             hasSpoken = true;
             waiting = true;
             lastMessage = !message.keepsOpen();
-            if (in.hasRemaining()) {
-                read(in);
+            if (in.hasRemaining() && in != ahead.kept()) {
+                ahead.add(in);
             }
             handle(message);
         } catch (BadMessage e) {
@@ -151,7 +152,7 @@
             if (message.id() == null || message.id().isEmpty() || !(message.timeout() > 0)) {
                 throw new BadMessage(HttpStatus.BAD_REQUEST_400, "X-Request-ID or X-Timeout is missing");
             }
-            if (hasLeft()) {
+            if (sawEnd()) {
                 clients.notTaken();
                 ended();
                 return;
@@ -172,14 +173,27 @@
      * Guards against launches for nobody: what lay unread, as after a pause of the whole process, may be
      * from a client that gave up in the meantime, and then its end lies unread behind it.
      */
-    private boolean hasLeft() {
+    private boolean sawEnd() {
         try {
-            return ahead == null && peek() < 0;
+            int got = 1;
+            while (got > 0 && !ahead.isFull()) {
+                got = peek();
+            }
+            return got < 0;
         } catch (IOException e) {
             return true;
         }
     }
 
+    @Override
+    public boolean hasLeft() {
+        boolean left = !getEndPoint().isOpen() || sawEnd();
+        if (left) {
+            loop.post(this::ended);
+        }
+        return left;
+    }
+
     @Override
     public void answer(ClientAnswer answer) {
         taken = null;
@@ -204,20 +218,21 @@
             return;
         }
         clients.is(this, hasSubmitted ? Places.Stage.KNOWN : Places.Stage.VISITOR);
-        if (ahead != null) {
-            ByteBuffer next = ahead;
-            ahead = null;
-            read(next);
-            if (ahead == null && getEndPoint().isOpen() && !isFillInterested()) {
-                fillInterested();
+        if (!ahead.isEmpty()) {
+            read(ahead.kept());
+            if (ahead.isEmpty()) {
+                ahead.release();
             }
         }
+        if (!ahead.isFull() && getEndPoint().isOpen() && !isFillInterested()) {
+            fillInterested();
+        }
     }
 
     private void linger() {
         lingering = true;
         clients.is(this, Places.Stage.LEAVING);
-        ahead = null;
+        ahead.release();
         getEndPoint().shutdownOutput();
         loop.later(LINGER, this::close);
         if (!isFillInterested() && getEndPoint().isOpen()) {
@@ -237,9 +252,9 @@
         }
     }
 
-    /** Reads a byte, if there is one; under 0 at the client's end. */
+    /** Reads a little of what there is; under 0 at the client's end. */
     private int peek() throws IOException {
-        ByteBuffer peeked = loop.peekBuffer();
+        ByteBuffer peeked = loop.lookBuffer();
         int got = getEndPoint().fill(peeked);
         if (got > 0) {
             read(peeked);
@@ -297,6 +312,7 @@
             patience.cancel();
         }
         decoder.release();
+        ahead.release();
         clients.closed(this);
         super.close();
     }
@@ -305,6 +321,7 @@
     public void onClose(Throwable cause) {
         super.onClose(cause);
         decoder.release();
+        ahead.release();
         clients.closed(this);
     }
 }
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -20,6 +20,8 @@
     private static final long IDLE_MILLIS = 120_000;
     /** Of the heap so much may be clients' bodies: what they become on their way is as much again. */
     private static final double HELD_PART = 0.25;
+    /** And so much what they send before their turn: who sends much at once must not take the others' room. */
+    private static final double AHEAD_PART = 0.06;
 
     private final Loop loop;
     private final Submitters submitters;
@@ -27,6 +29,7 @@
     private final int mostAlone;
     private final Places<ClientConnection> places;
     private final Room room = new Room((long) (HELD_PART * Runtime.getRuntime().maxMemory()));
+    private final Room roomAhead = new Room((long) (AHEAD_PART * Runtime.getRuntime().maxMemory()));
     private ServerSocketChannel server;
     private boolean isListening;
 
@@ -97,6 +100,10 @@
         return room;
     }
 
+    Room roomAhead() {
+        return roomAhead;
+    }
+
     void closed(ClientConnection connection) {
         places.closed(connection);
     }
--- a/daemon/src/main/java/wheelroute/net/clients/Room.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Room.java
@@ -16,6 +16,15 @@
         return fits;
     }
 
+    /** For what has come already, whether or not there is room. */
+    void hold(int bytes) {
+        held += bytes;
+    }
+
+    boolean isFull() {
+        return held >= most;
+    }
+
     void giveBack(int bytes) {
         held -= bytes;
     }
--- a/daemon/src/main/java/wheelroute/net/clients/Submitters.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Submitters.java
@@ -11,6 +11,9 @@
     /** Where the one final answer goes. */
     interface Answers {
         void answer(ClientAnswer answer);
+
+        /** Looks whether the client has left and it was not told yet; if so, that follows. */
+        boolean hasLeft();
     }
 
     /** What is not taken is told why: for want of such an offering, say. */
--- a/daemon/src/main/java/wheelroute/net/workers/Flight.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Flight.java
@@ -29,6 +29,15 @@
         return written;
     }
 
+    /** It has waited for a connection: the client, or its time, may have gone meanwhile. */
+    boolean mayGo(double now) {
+        if (!ended && now >= outerLimit) {
+            giveUp(End.TIMED_OUT);
+        }
+        // The answer may end it, too.
+        return !ended && launches.isWanted() && !ended;
+    }
+
     void boarded(WorkerConnection connection) {
         on = connection;
     }
--- a/daemon/src/main/java/wheelroute/net/workers/LaunchDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/workers/LaunchDecoder.java
@@ -45,6 +45,11 @@
         lines.clear();
     }
 
+    /** What it tells of an answer is certain to be of the launch that was expected. */
+    boolean namesItsLaunch() {
+        return inLines;
+    }
+
     void decode(ByteBuffer in) throws IOException {
         parser.parse(in);
     }
--- a/daemon/src/main/java/wheelroute/net/workers/Launches.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Launches.java
@@ -6,6 +6,9 @@
 public interface Launches {
     byte[] NO_RESULT = {};
 
+    /** Whether it should still go out, asked after it has waited for a connection. */
+    boolean isWanted();
+
     void started();
 
     void progressed(double share);
--- a/daemon/src/main/java/wheelroute/net/workers/Station.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Station.java
@@ -5,6 +5,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -21,6 +23,8 @@
     private final Set<WorkerConnection> open = new HashSet<>();
     /** The one used last is used next, so that those not needed grow old and expire. */
     private final ArrayDeque<WorkerConnection> idle = new ArrayDeque<>();
+    /** Those that wait for a connection. */
+    private final Set<Flight> boarding = new LinkedHashSet<>();
     private boolean left;
 
     Station(Loop loop, Workers workers, InetSocketAddress address, double startedAt) {
@@ -39,21 +43,45 @@
     }
 
     void send(Flight flight) {
-        for (WorkerConnection next = idle.pollLast(); next != null; next = idle.pollLast()) {
-            if (next.isUsable()) {
-                next.send(flight);
-                return;
-            }
-            next.close();
-        }
-        if (workers.mayOpen()) {
+        WorkerConnection kept = kept(flight.message.onceOnly());
+        if (kept != null) {
+            kept.send(flight);
+        } else if (workers.mayOpen()) {
             workers.opening();
+            boarding.add(flight);
             loop.connect(address, new Boarding(flight));
         } else {
             flight.end(End.NO_ROOM);
         }
     }
 
+    /**
+     * An idle connection that can be used, a rested one if there is one; null for none. What must not run twice
+     * goes on a rested or a new one: on another it might be told the end of the launch before it.
+     */
+    private WorkerConnection kept(boolean onlyRested) {
+        WorkerConnection unrested = null;
+        // From the one used last on. One that turns out to be unusable takes itself out as it is closed.
+        Iterator<WorkerConnection> newestFirst = new ArrayDeque<>(idle).descendingIterator();
+        while (newestFirst.hasNext()) {
+            WorkerConnection next = newestFirst.next();
+            boolean rested = next.isRested();
+            if (!rested && (onlyRested || unrested != null)) {
+                continue;
+            }
+            if (!next.isUsable()) {
+                next.close();
+            } else if (rested) {
+                idle.remove(next);
+                return next;
+            } else {
+                unrested = next;
+            }
+        }
+        idle.remove(unrested);
+        return unrested;
+    }
+
     /** A connection that is being made for one launch. */
     private final class Boarding implements Loop.Peer {
         private final Flight flight;
@@ -68,11 +96,12 @@
             WorkerConnection connection = new WorkerConnection(endPoint, loop, Station.this);
             open.add(connection);
             loop.post(() -> {
-                if (flight.hasEnded()) {
+                boarding.remove(flight);
+                if (flight.mayGo(loop.now())) {
+                    connection.send(flight);
+                } else {
                     // Ended while it connected: nothing may go out for it any more.
                     connection.close();
-                } else {
-                    connection.send(flight);
                 }
             });
             return connection;
@@ -81,6 +110,7 @@
         @Override
         public void failed(Throwable cause) {
             workers.closed();
+            boarding.remove(flight);
             flight.end(cause instanceof SocketTimeoutException ? End.NEVER_UP : End.REFUSED);
         }
     }
@@ -112,5 +142,16 @@
     void leave() {
         left = true;
         new ArrayList<>(idle).forEach(WorkerConnection::close);
+        withdraw();
+    }
+
+    /**
+     * Nothing new may go out to it: what it was chosen for, and has no connection yet, is decided on anew. The
+     * grace after the list's word is less than what a connection may take to come up.
+     */
+    void withdraw() {
+        for (Flight flight : new ArrayList<>(boarding)) {
+            flight.giveUp(End.ENDED_UNSENT);
+        }
     }
 }
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -13,6 +13,12 @@
 final class WorkerConnection extends Link implements LaunchDecoder.Hearer {
     /** For the last chunk after a last line: past it the connection is no use, and there may be many such. */
     private static final double TAIL = 1;
+    /**
+     * A worker at fault may answer a launch twice, the second time some milliseconds late, and an answer that
+     * is no 200 does not say whose it is. A connection that was silent for so long after its last answer is
+     * taken to have no more of it on the way: many times a way there and back, and little beside a job.
+     */
+    private static final double REST = 0.1;
 
     private final Station station;
     private final LaunchDecoder decoder = new LaunchDecoder(this);
@@ -21,6 +27,9 @@
     /** It has served a launch before, and nothing has come for the next one yet. */
     private boolean kept;
     private boolean unheard;
+    private double answeredAt = Double.NEGATIVE_INFINITY;
+    /** What is heard may be of the launch before. */
+    private boolean doubtful;
     /** An answer's last byte is still to come, or it will not be used again. */
     private boolean busy;
 
@@ -33,6 +42,7 @@
         flight = next;
         busy = true;
         unheard = kept;
+        doubtful = !isRested();
         kept = true;
         next.boarded(this);
         decoder.expect(next.message.id());
@@ -41,6 +51,11 @@
                 next.message.encode(station.host(), limit));
     }
 
+    /** Nothing of an earlier launch is on its way here any more. */
+    boolean isRested() {
+        return loop.now() - answeredAt >= REST;
+    }
+
     /** Looks for an end that has come but was not told yet: a launch written after it may count as run. */
     boolean isUsable() {
         try {
@@ -53,6 +68,11 @@
     @Override
     protected void received(ByteBuffer in) {
         unheard = false;
+        if (flight == null) {
+            // It answers twice, or says something of its own: begun now, it would be taken for the next answer.
+            close();
+            return;
+        }
         try {
             decoder.decode(in);
         } catch (IOException | RuntimeException e) {
@@ -94,6 +114,10 @@
     @Override
     public void ended(End end, byte[] result, double freeSlots) {
         tail = loop.later(TAIL, this::close);
+        if (doubtful && !decoder.namesItsLaunch()) {
+            // It may be told of the one before, and this one run: closed first, it is no copy beside the next.
+            close();
+        }
         flight.end(end, result, freeSlots);
     }
 
@@ -105,6 +129,7 @@
         } else if (getEndPoint().isOpen()) {
             flight = null;
             busy = false;
+            answeredAt = loop.now();
             station.idle(this);
         }
     }
--- a/daemon/src/main/java/wheelroute/net/workers/Workers.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Workers.java
@@ -1,7 +1,9 @@
 package wheelroute.net.workers;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import wheelroute.decision.Ids;
 import wheelroute.net.Counters;
@@ -20,6 +22,8 @@
     private int most;
     private final long idleMillis;
     private final Map<Ids.Worker, Station> stations = new HashMap<>();
+    /** Those of workers that were listed as started anew, or elsewhere, since the last settling. */
+    private final List<Station> replaced = new ArrayList<>();
     private int open;
 
     public Workers(Loop loop, Counters counters, int most, double idleLimit) {
@@ -39,11 +43,28 @@
     public void listed(Ids.Worker worker, InetSocketAddress address, double startedAt) {
         Station station = stations.get(worker);
         if (station == null || !station.isStill(address, startedAt)) {
-            gone(worker);
             stations.put(worker, new Station(loop, this, address, startedAt));
+            if (station != null) {
+                replaced.add(station);
+            }
         }
     }
 
+    /**
+     * The decisions know the list: what still waits for a connection to a worker that drains, or that is
+     * another process now, is decided on anew. Before, it would be sent there again.
+     */
+    public void settle(Iterable<Ids.Worker> draining) {
+        for (Ids.Worker worker : draining) {
+            Station station = stations.get(worker);
+            if (station != null) {
+                station.withdraw();
+            }
+        }
+        new ArrayList<>(replaced).forEach(Station::leave);
+        replaced.clear();
+    }
+
     public void gone(Ids.Worker worker) {
         Station station = stations.remove(worker);
         if (station != null) {
--- a/daemon/src/test/java/wheelroute/net/HeldLoop.java
+++ b/daemon/src/test/java/wheelroute/net/HeldLoop.java
@@ -55,7 +55,14 @@
 
     /** Lets so much time pass while the clock is stopped, and returns when what it made due has been done. */
     void step(double seconds) throws InterruptedException {
+        // What is being done is done at the time at which it began.
+        settle();
         clock.step(seconds);
+        settle();
+    }
+
+    /** Returns when what has come so far has been done, with what followed from it at once. */
+    void settle() throws InterruptedException {
         // Twice: what is due comes after what is posted, and what follows from it after that.
         for (int i = 0; i < 2; i++) {
             CountDownLatch done = new CountDownLatch(1);
--- a/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
+++ b/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
@@ -44,12 +44,261 @@
         return heard == null ? "nothing came" : held(heard.substring(0, heard.indexOf("\r\n")));
     }
 
+    /** From here on one more message is heard on it, and nothing that comes behind that. */
+    private void unheardAfter(Socket client, String message) throws Exception {
+        ask(client, message);
+        loop.settle();
+        loop.holdReads(client.getLocalPort());
+    }
+
     private void await(String figure, long value) throws IOException {
         while (metric(figure) != value) {
             LockSupport.parkNanos(1_000_000);
         }
     }
 
+    // ---- clients that leave while they wait
+
+    private enum Leaving {
+        CLOSE, HALF_CLOSE, RESET
+    }
+
+    @DataProvider
+    public Object[][] leavings() {
+        return new Object[][] {
+            {0, Leaving.CLOSE}, {0, Leaving.HALF_CLOSE}, {0, Leaving.RESET},
+            {1, Leaving.CLOSE}, {20_000, Leaving.CLOSE}, {200_000, Leaving.CLOSE},
+            {20_000, Leaving.HALF_CLOSE}, {20_000, Leaving.RESET},
+        };
+    }
+
+    /** Its end is seen behind whatever it sent on: its launch is called off, and none follows. */
+    @Test(dataProvider = "leavings", timeOut = PATIENCE)
+    public void aClientThatSentMoreAndLeftIsSeen(int more, Leaving how) throws Exception {
+        longest = 60;
+        serve(Effect.IDEMPOTENT);
+        Socket client = connect();
+        send(client, post(60.0) + "x".repeat(more));
+        workers.next();
+        switch (how) {
+            case CLOSE -> client.close();
+            case HALF_CLOSE -> client.shutdownOutput();
+            default -> {
+                client.setSoLinger(true, 0);
+                client.close();
+            }
+        }
+        assertNotEquals(workers.closed.poll(PATIENCE / 2, TimeUnit.MILLISECONDS), null, "still out");
+        assertEquals(metric("clients_gone_total"), 1);
+        assertEquals(metric("launch_ends_total{end=\"called_off\"}"), 1);
+        assertEquals(metric("launches_total"), 1);
+        assertEquals(metric("submissions_open"), 0);
+    }
+
+    /** What came before its turn is read no further than to a bound, and all of it is answered, in its order. */
+    @Test(timeOut = PATIENCE)
+    public void whatComesAheadIsAnsweredInItsTurn() throws Exception {
+        workers.answers.add(DONE);
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        Socket client = connect();
+        int pages = 10_000;
+        start(() -> send(client, HEALTH.repeat(pages) + job(88)));
+        for (int i = 0; i < pages; i++) {
+            assertEquals(status(read(client.getInputStream())), 200);
+        }
+        assertTrue(read(client.getInputStream()).endsWith("\r\n\r\nfine"));
+    }
+
+    /** Its end lies unread as its launch breaks: nothing is launched again for it. */
+    @Test(timeOut = PATIENCE)
+    public void nothingIsLaunchedAgainForAClientThatLeftUnseen() throws Exception {
+        ServerSocket worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        open.add(worker);
+        InetSocketAddress address = (InetSocketAddress) worker.getLocalSocketAddress();
+        serve(Effect.IDEMPOTENT, 1024, known(address, workers.listen()));
+        worker.setSoTimeout(50);
+        // Which of the two is chosen is chance; the other one stays silent.
+        Socket client = null;
+        Socket launched = null;
+        int asked = 0;
+        while (launched == null) {
+            client = connect();
+            unheardAfter(client, HEALTH);
+            send(client, job(100 + asked++));
+            await("launches_total", asked);
+            launched = acceptIfSoon(worker);
+        }
+        open.add(launched);
+        read(launched.getInputStream());
+        client.close();
+        launched.close();
+        await("launch_ends_total{end=\"broke\"}", 1);
+        await("submissions_open", asked - 1);
+        assertEquals(metric("launches_total"), asked, "launched again for nobody");
+        assertEquals(metric("clients_gone_total"), 1);
+    }
+
+    private static Socket acceptIfSoon(ServerSocket server) throws IOException {
+        try {
+            return server.accept();
+        } catch (SocketTimeoutException e) {
+            return null;
+        }
+    }
+
+    // ---- connections that come up late
+
+    @DataProvider
+    public Object[][] listings() {
+        String entry = "{\"version\":6,\"full\":false,\"servers\":[{\"id\":\"wPORT\",\"addr\":"
+                + "\"127.0.0.1:PORT\",\"zone\":\"here\",\"kind\":\"m\",\"cell\":1,\"state\":\"STATE\"}]}";
+        String whole = "{\"version\":6,\"full\":true,\"servers\":[{\"id\":\"wOTHER\",\"addr\":"
+                + "\"127.0.0.1:OTHER\",\"zone\":\"here\",\"kind\":\"m\",\"cell\":1,\"state\":\"ready\"}]}";
+        return new Object[][] {
+            {Effect.IDEMPOTENT, entry.replace("STATE", "draining")},
+            {Effect.UNREPEATABLE, entry.replace("STATE", "draining")},
+            {Effect.UNREPEATABLE, entry.replace("STATE", "gone")},
+            {Effect.UNREPEATABLE, whole},
+            {Effect.DEDUPLICATED, entry.replace("STATE", "draining")},
+        };
+    }
+
+    /** Rule 3: its worker is told draining or gone while it waits for a connection, and it goes elsewhere. */
+    @Test(dataProvider = "listings", timeOut = PATIENCE)
+    public void aLaunchThatWaitsForItsConnectionHearsOfADrain(Effect effect, String list) throws Exception {
+        Stub[] stubs = {new Stub(), new Stub()};
+        InetSocketAddress[] at = {stubs[0].listen(), stubs[1].listen()};
+        stubs[0].answers.add(DONE);
+        stubs[1].answers.add(DONE);
+        serve(effect, 1024, known(at));
+        discovery.next();
+        loop.holdConnects(Set.of(at));
+        Socket client = connect();
+        send(client, post(10));
+        InetSocketAddress first = (InetSocketAddress) loop.connecting.take();
+        int chosen = first.equals(at[0]) ? 0 : 1;
+        discovery.say(http(list.replace("PORT", "" + first.getPort())
+                .replace("OTHER", "" + at[1 - chosen].getPort())));
+        discovery.next();
+        loop.goOn();
+        assertEquals(status(read(client.getInputStream())), 200);
+        assertEquals(stubs[chosen].messages.get(), 0, "sent to a worker that drains");
+        assertEquals(stubs[1 - chosen].messages.get(), 1);
+        await("connections_open{peer=\"worker\"}", 1);
+    }
+
+    /** The same where it is listed as started anew: decided anew, and sent once. */
+    @Test(timeOut = PATIENCE)
+    public void aLaunchThatWaitsForItsConnectionHearsOfARestart() throws Exception {
+        Stub worker = new Stub();
+        InetSocketAddress at = worker.listen();
+        worker.answers.add(DONE);
+        serve(Effect.UNREPEATABLE, 1024, known(at));
+        discovery.next();
+        loop.holdConnects(Set.of(at));
+        Socket client = connect();
+        send(client, post(10));
+        loop.connecting.take();
+        discovery.say(http(known(at).replace("\"state\"", "\"started_ms\":1000,\"state\"")));
+        discovery.next();
+        loop.goOn();
+        assertEquals(status(read(client.getInputStream())), 200);
+        assertEquals(worker.messages.get(), 1);
+        assertEquals(metric("launch_ends_total{end=\"refused\"}"), 0);
+        assertEquals(metric("launch_ends_total{end=\"ended_unsent\"}"), 1);
+        await("connections_open{peer=\"worker\"}", 1);
+    }
+
+    /** The client's end, unread, as its connection to a worker comes up. */
+    @Test(timeOut = PATIENCE)
+    public void aLateConnectionCarriesNothingForAClientThatLeftUnseen() throws Exception {
+        InetSocketAddress at = workers.listen();
+        serve(Effect.IDEMPOTENT, 1024, known(at));
+        loop.holdConnects(Set.of(at));
+        Socket client = connect();
+        unheardAfter(client, HEALTH);
+        send(client, post(10));
+        loop.connecting.take();
+        client.close();
+        loop.goOn();
+        await("submissions_open", 0);
+        assertEquals(metric("launches_written_total"), 0);
+        assertEquals(metric("clients_gone_total"), 1);
+    }
+
+    // ---- kept connections
+
+    /** A second answer, late, to a launch before: what must not run twice does not go where it may come. */
+    @Test(timeOut = PATIENCE)
+    public void whatMustNotRunTwiceWaitsForNoOthersAnswer() throws Exception {
+        clock.stop();
+        workers.answers.add(DONE);
+        serve(Effect.UNREPEATABLE, 1024, known(workers.listen()));
+        Socket first = connect();
+        assertEquals(status(ask(first, post(10))), 200);
+        Socket late = workers.last;
+        workers.heard.clear();
+        Socket second = connect();
+        send(second, job(88));
+        workers.next();
+        late.getOutputStream().write(TURNED_AWAY.getBytes(StandardCharsets.UTF_8));
+        // The launch it might be taken for runs, and is answered.
+        assertTrue(workers.last != late, "on the connection that may still speak of the one before");
+        workers.say(DONE.replace("ID", "88"));
+        assertEquals(status(read(second.getInputStream())), 200);
+        assertEquals(workers.messages.get(), 2, "launched twice");
+    }
+
+    /** Once it has rested a connection is as good as a new one. */
+    @Test(timeOut = PATIENCE)
+    public void aRestedConnectionIsUsedAgain() throws Exception {
+        clock.stop();
+        workers.answers.addAll(List.of(DONE, DONE, DONE));
+        serve(Effect.UNREPEATABLE, 1024, known(workers.listen()));
+        assertEquals(status(ask(connect(), post(10))), 200);
+        loop.step(WHILE);
+        assertEquals(status(ask(connect(), post(10))), 200);
+        assertEquals(workers.connections.get(), 1);
+        assertEquals(status(ask(connect(), post(10))), 200);
+        assertEquals(workers.connections.get(), 2);
+    }
+
+    /** What may run again goes there, but a bad answer then ends the connection before it is believed. */
+    @Test(timeOut = PATIENCE)
+    public void aBadAnswerOnAnUnrestedConnectionEndsIt() throws Exception {
+        clock.stop();
+        workers.answers.add(DONE);
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        assertEquals(status(ask(connect(), post(10))), 200);
+        workers.heard.clear();
+        Socket second = connect();
+        send(second, job(88));
+        workers.next();
+        assertEquals(workers.connections.get(), 1);
+        workers.say("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(workers.closed.poll(PATIENCE / 2, TimeUnit.MILLISECONDS), Integer.valueOf(1),
+                "it may run there still");
+    }
+
+    @DataProvider
+    public Object[][] strayBytes() {
+        return new Object[][] {{"HTTP/1.1 5"}, {"\r\n"}, {TURNED_AWAY}, {DONE}};
+    }
+
+    /** Part of an answer to nothing, read while the connection is idle, would begin the next one's answer. */
+    @Test(dataProvider = "strayBytes", timeOut = PATIENCE)
+    public void whatAnIdleConnectionSaysEndsIt(String stray) throws Exception {
+        // It is not to expire.
+        clock.stop();
+        workers.answers.addAll(List.of(DONE, DONE));
+        serve(Effect.UNREPEATABLE, 1024, known(workers.listen()));
+        assertEquals(status(ask(connect(), post(10))), 200);
+        workers.say(stray);
+        assertEquals(workers.closed.poll(PATIENCE / 2, TimeUnit.MILLISECONDS), Integer.valueOf(1),
+                "kept with part of an answer");
+        assertEquals(status(ask(connect(), post(10))), 200);
+    }
+
     // ---- list watches
 
     private static String http(String body) {
@@ -82,8 +331,10 @@
         serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
         for (int i = 0; i < 100; i++) {
             loop.step(0.2);
+            // A round trip, in which a call that is due goes out.
+            metric("list_calls_total");
         }
-        long calls = discovery.messages.get();
+        long calls = metric("list_calls_total");
         assertTrue(calls >= 4 && calls <= 9, calls + " calls in 20 s");
     }
 
--- a/kit/src/main/java/wheelroute/kit/audit/Auditor.java
+++ b/kit/src/main/java/wheelroute/kit/audit/Auditor.java
@@ -40,6 +40,9 @@
      */
     private static final double TURN = 0.02;
 
+    /** A client that left while its submission waited was seen to leave after this: nothing goes out for it. */
+    private static final double LEFT = 0.3;
+
     /** Words of the histories, made once: they are noted millions of times and seldom read. */
     private static final String[] ANSWERED = words("answered ", Answer.values(), "");
     private static final String[] ENDED = words("", Ending.values(), " at");
@@ -93,6 +96,8 @@
         final List<Event> events = new ArrayList<>();
         Answer answer;
         double answeredAt = Double.NaN;
+        /** When its client hung up of its own wish, before any answer. */
+        double leftAt = Double.NaN;
         boolean given;
         boolean excused;
         /** It came by a way that was harmed: when its time began, nobody could tell its dispatcher. */
@@ -178,6 +183,9 @@
         }
         record.note(timeline.now(), ownWish ? "client hung up" : "client's time is up", -1);
         record.given = true;
+        if (ownWish && record.answer == null) {
+            record.leftAt = timeline.now();
+        }
         if (!ownWish && !record.excused && record.answer == null) {
             breach(Rule.ONE_ANSWER, "no answer before the outer limit", record);
         }
@@ -328,6 +336,10 @@
         if (timed && now > record.submitted.sentAt() + record.submitted.timeout() + slack) {
             breach(Rule.ONE_ANSWER, "a launch after the outer limit", record);
         }
+        if (timed && now > record.leftAt + LEFT + slack) {
+            breach(Rule.ONE_ANSWER, "a launch " + seconds(now - record.leftAt) + " s after its client left",
+                    record);
+        }
         Double told = toldLeaving.get(way);
         if (told != null && now > told + scenario.terms().grace() + slack) {
             breach(Rule.NO_LATE_LAUNCH, "a launch " + seconds(now - told) + " s after " + worker.name
--- a/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
+++ b/kit/src/test/java/wheelroute/kit/audit/AuditorTest.java
@@ -160,6 +160,21 @@
                 p.pass(2.5);
                 p.launch(NEAR);
             }),
+            rogue("launches for a client that left while it waited", Rule.ONE_ANSWER, "free", "", p -> {
+                p.pass(0.1);
+                p.auditor.gaveUp(p.submitted, true);
+                p.pass(0.32);
+                p.launch(NEAR);
+            }),
+            rogue("stands still, and launches for a client that left meanwhile", Rule.ONE_ANSWER, "free", "",
+                    p -> {
+                        p.pass(0.1);
+                        p.auditor.dispatcherPaused(0);
+                        p.auditor.gaveUp(p.submitted, true);
+                        p.pass(0.4);
+                        p.auditor.dispatcherWoke(0);
+                        p.launch(NEAR);
+                    }),
             rogue("launches the unrepeatable again", Rule.NO_EFFECT_TWICE, "once", ERRS, p -> {
                 begin(p);
                 p.launch(NEAR);
@@ -405,6 +420,12 @@
                 p.auditor.refused(p.submitted);
                 p.pass(3);
             })},
+            {rogue("launches in the moment in which its client leaves", null, "free", "", p -> {
+                p.pass(0.1);
+                p.auditor.gaveUp(p.submitted, true);
+                p.pass(0.3);
+                p.launch(NEAR);
+            })},
             {rogue("is left by its client", null, "free", "", p -> {
                 p.auditor.gaveUp(p.submitted, true);
                 p.pass(3);
