A process that is told to end does so in order from its start to its last moment

- Main added its shutdown hook after Service.start: a SIGTERM while the process asked the one whose place it takes, or between its first client and the hook, ended it with 143 and all that it had accepted.
The hook now comes first, a start told to end does not listen ("n0 listens on" in the log without that), and one that fails keeps exit code 1 and waits for nothing.
- Service.look ended 80 ms after it was quiet over connections that had said nothing for longer than 0.15 s: what came on one in that moment got no answer ("it ended after: ").
Before the process goes all connections are looked at: what has come is taken, the others are closed, so that a client that writes then sends again elsewhere.
An idle client's connection that expires is looked at in the same way.
- Exchange.outOfTime made its fallback answer in the same turn as the decisions' own: a decision that throws as a submission is taken left no handle, and the fallback failed on it too (the test waited for ever).

--- a/daemon/src/main/java/wheelroute/Main.java
+++ b/daemon/src/main/java/wheelroute/Main.java
@@ -71,15 +71,26 @@
         System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
         try {
             Service service = new Service(ConfigReader.read(environment));
-            // Before it is ready: by default the signal would end the process.
+            // Before it is ready: by default either signal would end the process, with what it had taken.
             Hangup.onSignal(() -> service.reload(() -> ConfigReader.reread(environment)));
-            service.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(service), "end"));
+            Thread end = new Thread(() -> end(service), "end");
+            Runtime.getRuntime().addShutdownHook(end);
+            start(service, end);
         } catch (Exception e) {
             fail(e);
         }
     }
 
+    /** A start that fails ends with the code for it, and with nothing to wait for. */
+    private static void start(Service service, Thread end) throws Exception {
+        try {
+            service.start();
+        } catch (Exception e) {
+            Runtime.getRuntime().removeShutdownHook(end);
+            throw e;
+        }
+    }
+
     /** A signal's own exit code would read as a crash. */
     private static void end(Service service) {
         try {
--- a/daemon/src/main/java/wheelroute/net/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/Exchange.java
@@ -154,8 +154,11 @@
             if (!answered) {
                 handle.outOfTime();
             }
+        });
+        // A turn of its own: a fault in the decisions must not take the answer with it.
+        exchanges.turn(() -> {
             if (!answered) {
-                // Only a fault in the decisions leaves it open here; nothing is promised about the effect.
+                // Only such a fault leaves it open here; nothing is promised about the effect.
                 answer(Counters.Answer.SCRAPPED, ClientAnswer.scrapped());
             }
             exchanges.remove(submission.id(), message.id());
--- a/daemon/src/main/java/wheelroute/net/Service.java
+++ b/daemon/src/main/java/wheelroute/net/Service.java
@@ -103,6 +103,8 @@
             listening.get();
         } catch (ExecutionException e) {
             loop.stop();
+            // Whoever was told to end it meanwhile waits for nothing.
+            drained.countDown();
             throw e.getCause() instanceof ConfigException fault ? fault : e;
         }
     }
@@ -148,6 +150,11 @@
 
     /** Last of all: from here on clients come. */
     private void listen() throws ConfigException {
+        if (exchanges.isDraining()) {
+            // Told to end while it asked its predecessor: nobody should begin to send here.
+            listening.complete(null);
+            return;
+        }
         try {
             // A process that is to take this one's place begins beside it, where there is a door to ask it.
             clients.listen(config.listen(), config.admin() != null);
@@ -242,7 +249,7 @@
         next.hurry();
     }
 
-    /** From any thread: answers what was taken, then returns. */
+    /** From any thread, and at any time from the making on: answers what was taken, then returns. */
     public void drain() throws Exception {
         loop.post(this::beginDrain);
         drained.await();
@@ -258,6 +265,9 @@
     }
 
     private void beginDrain() {
+        if (listening.isCompletedExceptionally()) {
+            return;
+        }
         double end = loop.now() + Math.min(LONGEST_DRAIN, config.longestOuterLimit()) + SPARE;
         exchanges.drain(end);
         // Where another one listens already, new connections are better off with it at once.
@@ -270,10 +280,16 @@
     private void look(double end) {
         if (loop.now() >= end) {
             exchanges.giveUpAll();
-            loop.later(LAST_BYTES, this::end);
+            loop.later(LAST_BYTES, () -> {
+                clients.lastLook();
+                end();
+            });
         } else if (isQuiet()) {
             // What is handed over while the last bytes leave is answered too.
             loop.later(LAST_BYTES, () -> {
+                if (isQuiet()) {
+                    clients.lastLook();
+                }
                 if (isQuiet()) {
                     end();
                 } else {
--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -252,6 +252,18 @@
         }
     }
 
+    /** Before the process ends: takes what has come, and leaves nobody in doubt about what comes next. */
+    void lastLook() {
+        if (waiting || lingering) {
+            return;
+        }
+        if (sawEnd()) {
+            close();
+        } else if (!waiting) {
+            makeRoom();
+        }
+    }
+
     /** Reads a little of what there is; under 0 at the client's end. */
     private int peek() throws IOException {
         ByteBuffer peeked = loop.lookBuffer();
@@ -300,7 +312,9 @@
     /** A client may wait for its answer for as long as its outer limit; who does not read it, may not. */
     @Override
     public boolean onIdleExpired(TimeoutException timeout) {
-        if (taken == null) {
+        if (isIdle()) {
+            closeIfIdle();
+        } else if (taken == null) {
             close();
         }
         return false;
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -137,6 +137,16 @@
         return submitters.metrics().getBytes(StandardCharsets.UTF_8);
     }
 
+    /**
+     * The process is about to end. What has come is read, and may be taken; all that say nothing are closed, so
+     * that nobody hands over a submission to a process that will not read it any more.
+     */
+    public void lastLook() {
+        for (Places.Stage stage : Places.Stage.values()) {
+            places.at(stage).forEach(ClientConnection::lastLook);
+        }
+    }
+
     /** No new connections, and none kept between two submissions but by a dispatcher that serves on. */
     public void stopListening() {
         if (isListening) {
--- a/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
+++ b/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
@@ -365,4 +365,72 @@
             loop.step(0.25);
         }
     }
+
+    // ---- the end
+
+    /** A message that comes in the last moment on a connection that said nothing is answered all the same. */
+    @Test(timeOut = PATIENCE)
+    public void whatComesInTheLastMomentIsAnswered() throws Exception {
+        clock.stop();
+        workers.answers.addAll(List.of(DONE, DONE));
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()), 2);
+        Socket silent = new Socket();
+        open.add(silent);
+        silent.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        loop.holdReads(silent.getLocalPort());
+        silent.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), PATIENCE);
+        silent.setSoTimeout(PATIENCE);
+        await("connections_open{peer=\"client\"}", 2);
+        loop.step(WHILE);
+        CompletableFuture<Void> ended = drain(service);
+        while (!ask(connect(), HEALTH).startsWith("HTTP/1.1 503")) {
+            LockSupport.parkNanos(1_000_000);
+        }
+        // The listening socket closes, and is found empty; by then nothing is left to do.
+        loop.step(0.46);
+        loop.step(0.01);
+        loop.step(0.03);
+        send(silent, post(10));
+        // The time for the last bytes.
+        start(() -> {
+            while (!ended.isDone()) {
+                loop.step(0.05);
+            }
+        });
+        assertEquals(status(read(silent.getInputStream())), 200);
+        clock.goOn();
+        ended.get();
+        service = null;
+    }
+
+    /** A fault of the decisions, from the taking on: its submission is scrapped at its outer limit all the same. */
+    @Test(timeOut = PATIENCE)
+    public void aFaultOfTheDecisionsTakesNoAnswerWithIt() throws Exception {
+        wantsFaults = true;
+        serve(Effect.IDEMPOTENT);
+        Exchanges exchanges = new Exchanges(loop, new Counters(List.of(new Ids.Offering("job"))), null,
+                config.settings(), 2);
+        CompletableFuture<Integer> status = new CompletableFuture<>();
+        ClientMessage message = new ClientMessage("POST", "/job/x", "77", null, null, "", 10, 1, 1, 0, false,
+                true, new byte[0]);
+        Submission submission = new Submission(new Ids.Submission(1), new Ids.Offering("job"),
+                new Ids.Tenant(""), loop.now() + 2, 1, 1, 0, false, null);
+        loop.post(() -> {
+            Exchange exchange = new Exchange(exchanges, loop, submission, message, new Submitters.Answers() {
+                @Override
+                public void answer(ClientAnswer answer) {
+                    status.complete(answer.status());
+                }
+
+                @Override
+                public boolean hasLeft() {
+                    return false;
+                }
+            }, false);
+            // There is no policy: its call fails as one would that throws.
+            exchanges.turn(() -> exchange.begin(null));
+            exchange.outOfTime();
+        });
+        assertEquals(status.get().intValue(), 502);
+    }
 }
