Names of offerings and tenants stay what they are, and are no keys to the start script

Seen in tests that fail without each mend (nine cases):

Only a comma in a list of plain values is replaced now, and the path is unescaped. - A tenant whose name is not ASCII was read a byte a character ("expected [été] but found [Ã©tÃ©]"), so it had no share and counted as nobody's. - Two offerings of one name, or one without a name, were taken silently, the last one winning; they end the start with the key now. - deploy/run.sh stopped reading at a line with "memory_mb" and a digit, also where that is an offering's name or another table's key, and took 192 MB whatever the limit. Now only a key after "limits" stops it.

--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -13,8 +13,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import wheelroute.decision.Settings;
 import wheelroute.peers.PeerId;
 
@@ -124,7 +126,13 @@
             throw new ConfigException("settings.request_classes", "names no offering");
         }
         double longest = 0;
+        Set<String> names = new HashSet<>();
         for (int i = 0; i < settings.offerings().size(); i++) {
+            String name = settings.offerings().get(i).id().name();
+            if (name.isEmpty() || !names.add(name)) {
+                throw new ConfigException("settings.request_classes." + i + ".name", name.isEmpty() ? "is missing"
+                        : "is another offering's too: " + name);
+            }
             String key = "request_classes." + i + ".hard_limit_us";
             longest = Math.max(longest, positive(key, reader.seconds(key, USUAL_OUTER_LIMIT)));
         }
--- a/daemon/src/main/java/wheelroute/config/JsonPairs.java
+++ b/daemon/src/main/java/wheelroute/config/JsonPairs.java
@@ -26,7 +26,8 @@
             case START_ARRAY -> list(parser, path, into);
             case VALUE_NULL -> {
             }
-            default -> into.put(path, plain(parser));
+            // As it is: names go into paths and headers, where the wire's stand-in for a blank would be another.
+            default -> into.put(path, parser.getText());
         }
     }
 
@@ -36,7 +37,8 @@
         int values = 0;
         while (parser.nextToken() != JsonToken.END_ARRAY) {
             if (parser.currentToken().isScalarValue()) {
-                plain.append(values++ > 0 ? "," : "").append(plain(parser));
+                // A comma parts the list, so that none may come from a value.
+                plain.append(values++ > 0 ? "," : "").append(parser.getText().replace(',', '_'));
             } else {
                 flatten(parser, path + "." + objects++, into);
             }
@@ -44,8 +46,4 @@
         into.put(path + ".count", Integer.toString(objects));
         into.put(path, plain.toString());
     }
-
-    private static String plain(JsonParser parser) throws IOException {
-        return parser.getText().replace(' ', '_').replace(',', '_');
-    }
 }
--- a/daemon/src/main/java/wheelroute/config/SettingsReader.java
+++ b/daemon/src/main/java/wheelroute/config/SettingsReader.java
@@ -35,7 +35,7 @@
                 seconds("round_us", 0), offerings(), quotas(), number("over_share_worth", 1),
                 text("membership_mode", "push").equals("ask"),
                 flag("family_info.tells_start"), seconds("family_info.progress_us", 0),
-                text("family_info.report_x0", "").equals("free_slots"), flag("permissions.cancel"),
+                text("family_info.report_x0", "").replace(' ', '_').equals("free_slots"), flag("permissions.cancel"),
                 flag("permissions.may_duplicate"), flag("permissions.retry_after"),
                 seconds("permissions.max_retry_after_us", 0), (int) number("permissions.most_tries", 1),
                 number("rules.cold_from", 1), seconds("rules.cold_us", 0),
--- a/daemon/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -1,6 +1,7 @@
 package wheelroute.net.clients;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
@@ -38,6 +39,8 @@
             "x-request-id", "x-timeout", "idempotency-key", "x-route-key", "x-cost", "x-attrs", "x-retried",
             "x-tenant-id");
     private static final byte[] NO_BODY = {};
+    /** What stands for bytes that are no text. */
+    private static final char NO_CHARACTER = '\ufffd';
 
     private final HttpParser parser = new HttpParser(this, MOST_HEAD, READING);
     private final Room room;
@@ -92,8 +95,9 @@
         word("x-route-key");
         String tenant = fields.get("x-tenant-id");
         Map<String, String> attrs = attrs();
+        tenant = named(tenant == null ? attrs.getOrDefault("tenant", "") : tenant);
         return new ClientMessage(method, target, fields.get("x-request-id"), fields.get("idempotency-key"),
-                fields.get("x-route-key"), tenant == null ? attrs.getOrDefault("tenant", "") : tenant,
+                fields.get("x-route-key"), tenant,
                 number("x-timeout", fields.get("x-timeout"), Double.NaN),
                 number("x-cost", fields.get("x-cost"), Double.NaN) / MICROS,
                 number("slots", attrs.get("slots"), 1), number("memory", attrs.get("memory"), 0),
@@ -101,6 +105,13 @@
                 filled == body.length ? body : Arrays.copyOf(body, filled));
     }
 
+    /** The parser reads fields a byte a character; a name as configured may be of more. */
+    private static String named(String field) {
+        byte[] bytes = field.getBytes(StandardCharsets.ISO_8859_1);
+        String name = new String(bytes, StandardCharsets.UTF_8);
+        return name.indexOf(NO_CHARACTER) < 0 ? name : field;
+    }
+
     private Map<String, String> attrs() throws BadMessage {
         Map<String, String> attrs = new HashMap<>();
         String text = fields.getOrDefault("x-attrs", "");
--- a/daemon/src/main/java/wheelroute/net/clients/ClientMessage.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientMessage.java
@@ -1,5 +1,7 @@
 package wheelroute.net.clients;
 
+import java.nio.charset.StandardCharsets;
+
 /**
  * What a client sent, decoded. Times in seconds.
  *
@@ -10,6 +12,8 @@
 public record ClientMessage(String method, String target, String id, String mark, String routeKey,
         String tenant, double timeout, double hint, double slots, double memory, boolean repeated,
         boolean keepsOpen, byte[] body) {
+    private static final int HEX = 16;
+
     public String path() {
         int query = target.indexOf('?');
         return query < 0 ? target : target.substring(0, query);
@@ -19,6 +23,19 @@
     public String offering() {
         String path = path();
         int slash = path.indexOf('/', 1);
-        return path.substring(Math.min(1, path.length()), slash < 0 ? path.length() : slash);
+        String first = path.substring(Math.min(1, path.length()), slash < 0 ? path.length() : slash);
+        return first.indexOf('%') < 0 ? first : unescaped(first);
+    }
+
+    /** A name may hold what a path cannot; its escapes are whole, or the message would not have been read. */
+    private static String unescaped(String text) {
+        byte[] bytes = new byte[text.length()];
+        int length = 0;
+        for (int i = 0; i < text.length(); i++) {
+            boolean escape = text.charAt(i) == '%';
+            bytes[length++] = (byte) (escape ? Integer.parseInt(text.substring(i + 1, i + 3), HEX) : text.charAt(i));
+            i += escape ? 2 : 0;
+        }
+        return new String(bytes, 0, length, StandardCharsets.UTF_8);
     }
 }
--- a/daemon/src/test/java/wheelroute/ConfigTest.java
+++ b/daemon/src/test/java/wheelroute/ConfigTest.java
@@ -22,6 +22,7 @@
 import wheelroute.decision.Effect;
 import wheelroute.decision.Group;
 import wheelroute.decision.Ids;
+import wheelroute.decision.Settings;
 import wheelroute.net.list.WorkerList;
 
 /** What a dispatcher is told at its start, read from the environment and its file. */
@@ -125,6 +126,18 @@
         assertEquals(read(WHOLE, Map.of()).settings(), SettingsReader.read(0x8c1f30d27a5be964L, wire));
     }
 
+    /** Names that a path, a list or a key might be taken for: each stays what it is, and apart from the others. */
+    @Test
+    public void namesStayWhatTheyAre() throws IOException, ConfigException {
+        for (String name : List.of("a b", "a_b", "a,b", "a.b", "limits", "memory_mb", "count", "healthz", "\u00e9t\u00e9")) {
+            Settings settings = read(WHOLE.replace("'name':'light'", "'name':'" + name + "'")
+                    .replace("'name':'t'", "'name':'" + name + "'"), Map.of()).settings();
+            assertEquals(settings.offerings().get(0).id().name(), name);
+            assertEquals(settings.quotas().keySet().iterator().next().name(), name);
+            assertEquals(settings.offerings().size(), 2);
+        }
+    }
+
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
@@ -148,6 +161,8 @@
             {"'on_time_us':200000", "'on_time_us':'soon'", "request_classes.0.on_time_us"},
             {"'connect_timeout_us':250000", "'connect_timeout_us':-1", "connect_timeout_us"},
             {CLASSES, "'request_classes':[]", "request_classes"},
+            {"'name':'alert'", "'name':'light'", "request_classes.1.name"},
+            {"'name':'alert'", "'name':''", "request_classes.1.name"},
             {"'settings'", "'sittings'", "request_classes"},
             {"'settings':{", PEERING + "'settings':{'balancers':2,", "peering"},
             {"'settings':{", PEERING + "'settings':{'balancers':3,'position':1,", "peering.addresses"},
--- a/daemon/src/test/java/wheelroute/StartScriptTest.java
+++ b/daemon/src/test/java/wheelroute/StartScriptTest.java
@@ -26,6 +26,10 @@
             {"{\"limits\":\r\n{\"memory_mb\":\r\n80\r\n}}", "-Xmx35m"},
             {"{\"limits\":{\"memory_mb\":20}}", "-Xmx16m"},
             {"{\"limits\":{\"memory_mb\":4000}}", "-Xmx96m"},
+            // Names of offerings are no keys.
+            {"{\"settings\":{\"request_classes\":[\n{\"name\":\"limits\",\"worth\":1},\n{\"name\":"
+                + "\"memory_mb\",\"worth\":64}]},\n\"limits\":\n{\"memory_mb\":80}}", "-Xmx35m"},
+            {"{\"settings\":{\"memory_mb\":64},\n\"limits\":{\"memory_mb\":80}}", "-Xmx35m"},
             // What is odd gets the usual size: the program says what is wrong with it.
             {"{\"limits\":{\"memory_mb\":\"80\"}}", "-Xmx96m"},
             {"{\"limits\":{\"memory_mb\":12345678901234567890}}", "-Xmx96m"},
--- a/daemon/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
+++ b/daemon/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
@@ -68,6 +68,23 @@
         assertEquals(second.body().length, 0);
     }
 
+    @DataProvider
+    public Object[][] names() {
+        return new Object[][] {
+            {"render", "render"}, {"ren%64er", "render"}, {"a%20b", "a b"}, {"a%2Fb", "a/b"}, {"a.b", "a.b"},
+            {"%C3%A9t%C3%A9", "\u00e9t\u00e9"}, {"healthz", "healthz"},
+        };
+    }
+
+    /** An offering's name may hold what a path must escape, a tenant's what is no ASCII. */
+    @Test(dataProvider = "names")
+    public void readsNames(String inPath, String name) throws BadMessage {
+        ClientMessage message = new ClientDecoder(new Room(ROOM)).decode(bytes(POST.replace("/render/",
+                "/" + inPath + "/").replace("X-Tenant-Id: t", "X-Tenant-Id: " + name)));
+        assertEquals(message.offering(), name);
+        assertEquals(message.tenant(), name);
+    }
+
     @DataProvider
     public Object[][] bad() {
         return new Object[][] {
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -12,8 +12,11 @@
     while read -r line || [ -n "$line" ]; do
         # A carriage return is a blank to JSON, but not to the shell.
         text="$text ${line%[[:cntrl:]]}"
-        # As soon as it is there: a shell reads byte by byte, and the list of workers may be long.
-        case $line in *'"memory_mb"'*[0-9]*) break ;; esac
+        # As soon as it is there: a shell reads byte by byte, and the list of workers may be long. A colon follows
+        # a key only: an offering may have the same name.
+        case $line in
+            *'"memory_mb":'*[0-9]* | *'"memory_mb" :'*[0-9]*) case $text in *'"limits"'*) break ;; esac ;;
+        esac
     done < "$LB_CONFIG"
 fi
 # Without blanks, as JSON may hold them anywhere: split at them, and joined by an empty IFS.
