An offering's name that is not ASCII may stand in the path as it is

Now the first part of the path, which names the offering, may also hold letters that are no ASCII; they go on byte for byte. The rest of the target is as strict as before, and its test is untouched.

A blank in a path is still answered 400: "Illegal character SPACE". HTTP has no form for it; such an offering is reached by its escape only.

--- a/daemon/src/main/java/wheelroute/net/clients/ClientMessage.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientMessage.java
@@ -1,5 +1,6 @@
 package wheelroute.net.clients;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -29,13 +30,13 @@
 
     /** A name may hold what a path cannot; its escapes are whole, or the message would not have been read. */
     private static String unescaped(String text) {
-        byte[] bytes = new byte[text.length()];
-        int length = 0;
-        for (int i = 0; i < text.length(); i++) {
-            boolean escape = text.charAt(i) == '%';
-            bytes[length++] = (byte) (escape ? Integer.parseInt(text.substring(i + 1, i + 3), HEX) : text.charAt(i));
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        byte[] in = text.getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i < in.length; i++) {
+            boolean escape = in[i] == '%';
+            out.write(escape ? Character.digit(in[i + 1], HEX) * HEX + Character.digit(in[i + 2], HEX) : in[i]);
             i += escape ? 2 : 0;
         }
-        return new String(bytes, 0, length, StandardCharsets.UTF_8);
+        return out.toString(StandardCharsets.UTF_8);
     }
 }
