A list that stops in its middle is given up; another dispatcher's socket is not believed

Read line by line, each with a test that fails without its mend:

- ListWatch waited for the rest of an answer that had begun until the call's hold and silence were over, up to 4.8 s, though what is written of it may count as told ("expected [GET /v1/servers?from=5&hold_ms=0 HTTP/1.1] but found [nothing came]").
An answer that has begun now has 1 s between its parts and 3 s in all; after that the watch is opened anew as after silence.
- Handover took over list, learning and ids from whoever listened on the Unix socket under its file's name, which is a CRC-32 of name and address ("expected [2] but found [1]" workers: the other's list).
The greeting now says the name.
One of an older version says none and is believed as before, so that an upgrade still hands over.

--- a/daemon/src/main/java/wheelroute/net/handover/Handover.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Handover.java
@@ -61,6 +61,7 @@
 
     private final Loop loop;
     private final Path path;
+    private final String name;
     private final Knowledge knowledge;
     private final Hearer hearer;
     private final Places places = new Places();
@@ -76,6 +77,7 @@
         this.loop = loop;
         this.knowledge = knowledge;
         this.hearer = hearer;
+        this.name = name;
         CRC32 crc = new CRC32();
         crc.update(name.getBytes(StandardCharsets.UTF_8));
         path = directory.resolve(String.format(Locale.ROOT, "wheelroute-%08x.sock", crc.getValue()));
@@ -230,7 +232,7 @@
 
     @Override
     public void opened(Neighbour neighbour) {
-        neighbour.say(GREETING, "");
+        neighbour.say(GREETING, name);
         loop.later(PATIENCE, () -> {
             if (!neighbour.greeted) {
                 neighbour.close();
@@ -244,7 +246,7 @@
     @Override
     public void said(Neighbour neighbour, String word, String about) throws IOException {
         if (!neighbour.greeted) {
-            greet(neighbour, word);
+            greet(neighbour, word, about);
             return;
         }
         switch (word) {
@@ -269,8 +271,9 @@
         }
     }
 
-    private void greet(Neighbour neighbour, String word) throws IOException {
-        if (!word.equals(GREETING)) {
+    private void greet(Neighbour neighbour, String word, String about) throws IOException {
+        // Two names may make one file's name; an older version does not say its own.
+        if (!word.equals(GREETING) || !about.isEmpty() && !about.equals(name)) {
             throw new IOException("not a process of this dispatcher");
         }
         neighbour.greeted = true;
--- a/daemon/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/daemon/src/main/java/wheelroute/net/list/ListWatch.java
@@ -224,6 +224,8 @@
         private double hold;
         /** It has answered before. */
         private boolean worked;
+        /** By when the answer that has begun has to be whole; NaN before. */
+        private double wholeBy = Double.NaN;
 
         @Override
         public Connection opened(EndPoint opened) {
@@ -249,6 +251,7 @@
             }
             counters.count(Counters.Kind.LIST_CALLS);
             askedAt = loop.now();
+            wholeBy = Double.NaN;
             int holdMillis = wantsWhole ? 0 : hold();
             hold = holdMillis / MILLIS;
             String target = "/v1/servers" + (wantsWhole ? "" : "?from=" + version + "&hold_ms=" + holdMillis);
@@ -258,6 +261,14 @@
                     .field("Host", ConfigReader.text(address)).noBody());
         }
 
+        /** An answer that has begun goes on, and comes to its end: what is in it may count as told already. */
+        private void goesOn() {
+            if (Double.isNaN(wholeBy)) {
+                wholeBy = loop.now() + WHOLE_SILENCE;
+            }
+            waitFor(Math.min(SILENCE, wholeBy - loop.now()));
+        }
+
         @Override
         public void head(int status, Map<String, String> fields) throws IOException {
             body.reset();
@@ -326,6 +337,7 @@
 
             @Override
             protected void received(ByteBuffer in) throws IOException {
+                goesOn();
                 parser.parse(in);
             }
 
--- a/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
+++ b/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
@@ -350,6 +350,19 @@
         assertEquals(soon(discovery), HELD_CALL);
     }
 
+    /** An answer that stops in its middle may hold what counts as told: it is not waited for as a held call is. */
+    @Test(timeOut = PATIENCE)
+    public void anAnswerThatStopsInItsMiddleIsGivenUp() throws Exception {
+        clock.stop();
+        discovery.answers.add("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"version\":6,\"fu");
+        serve(Effect.IDEMPOTENT, 1024, known(workers.listen()));
+        assertEquals(discovery.next(), HELD_CALL);
+        // Its first part is read before the time goes on.
+        metric("list_calls_total");
+        loop.step(1);
+        assertEquals(soon(discovery), SHORT_CALL);
+    }
+
     /** Where the agent's news count as told unasked, no failure is waited out, the tenth no more than the first. */
     @Test(timeOut = PATIENCE)
     public void aPushedListIsAskedForAgainSoon() throws Exception {
--- a/daemon/src/test/java/wheelroute/net/ReplacementTest.java
+++ b/daemon/src/test/java/wheelroute/net/ReplacementTest.java
@@ -10,9 +10,11 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.StandardProtocolFamily;
+import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.Channels;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -201,6 +203,26 @@
         }
     }
 
+    /** Another dispatcher's socket stands where its own would: nothing is taken over from there. */
+    @Test(timeOut = PATIENCE)
+    public void nothingIsTakenOverFromAnotherDispatcher() throws Exception {
+        serveKnown(Effect.IDEMPOTENT);
+        Path file = onlyFile();
+        service.drain();
+        try (ServerSocketChannel other = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+            other.bind(UnixDomainSocketAddress.of(file));
+            start(() -> {
+                SocketChannel asks = other.accept();
+                open.add(asks);
+                asks.write(StandardCharsets.UTF_8.encode("wheelroute-handover n1 /127.0.0.1:1\nlist "
+                        + known(workers.listen()).replace(":5,", ":99,") + "\nopen 77\ntold\n"));
+            });
+            service = another(meeting, port);
+            service.start();
+            assertEquals(metric("workers_listed"), 2);
+        }
+    }
+
     /** One that dies before it serves leaves the old one serving, and to be found; words bring no words. */
     @Test(timeOut = PATIENCE)
     public void aStartThatFailsChangesNothing() throws Exception {
