Clients that send much ahead of their turn keep nobody else from being read

Found on reading the mend for clients that leave once more: wantsMore was false wherever the room for bytes ahead was taken, also for connections that wait for nothing, so some dozen clients that send much behind a waiting message would have kept all others unread. Only who waits is held to that bound now, and the bound is 4 MiB at most.

--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -63,7 +63,8 @@
 
     @Override
     protected boolean wantsMore() {
-        return !ahead.isFull();
+        // Who waits for no answer is read in any case: others' bytes ahead must not keep its message out.
+        return !waiting || !ahead.isFull();
     }
 
     @Override
@@ -176,7 +177,7 @@
     private boolean sawEnd() {
         try {
             int got = 1;
-            while (got > 0 && !ahead.isFull()) {
+            while (got > 0 && wantsMore()) {
                 got = peek();
             }
             return got < 0;
@@ -224,7 +225,7 @@
                 ahead.release();
             }
         }
-        if (!ahead.isFull() && getEndPoint().isOpen() && !isFillInterested()) {
+        if (wantsMore() && getEndPoint().isOpen() && !isFillInterested()) {
             fillInterested();
         }
     }
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -22,6 +22,8 @@
     private static final double HELD_PART = 0.25;
     /** And so much what they send before their turn: who sends much at once must not take the others' room. */
     private static final double AHEAD_PART = 0.06;
+    /** And no more than this, however large the heap: sixteen who send as much as is kept of one. */
+    private static final long MOST_AHEAD = 16L * Ahead.MOST;
 
     private final Loop loop;
     private final Submitters submitters;
@@ -29,7 +31,8 @@
     private final int mostAlone;
     private final Places<ClientConnection> places;
     private final Room room = new Room((long) (HELD_PART * Runtime.getRuntime().maxMemory()));
-    private final Room roomAhead = new Room((long) (AHEAD_PART * Runtime.getRuntime().maxMemory()));
+    private final Room roomAhead = new Room(Math.min(MOST_AHEAD,
+            (long) (AHEAD_PART * Runtime.getRuntime().maxMemory())));
     private ServerSocketChannel server;
     private boolean isListening;
 
--- a/daemon/src/test/java/wheelroute/net/HeldLoop.java
+++ b/daemon/src/test/java/wheelroute/net/HeldLoop.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.Queue;
@@ -12,6 +13,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -25,6 +27,8 @@
     private final Queue<Runnable> connects = new ConcurrentLinkedQueue<>();
     private final Set<SocketAddress> held = ConcurrentHashMap.newKeySet();
     private final Set<Integer> unread = ConcurrentHashMap.newKeySet();
+    /** On all connections. */
+    final AtomicLong bytesRead = new AtomicLong();
     private final StepClock clock;
 
     HeldLoop(StepClock clock, double connectLimit) {
@@ -90,6 +94,13 @@
                     super.fillInterested(callback);
                 }
             }
+
+            @Override
+            public int fill(ByteBuffer buffer) throws IOException {
+                int got = super.fill(buffer);
+                bytesRead.addAndGet(Math.max(0, got));
+                return got;
+            }
         };
     }
 
