--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -130,8 +130,8 @@
         for (int i = 0; i < settings.offerings().size(); i++) {
             String name = settings.offerings().get(i).id().name();
             if (name.isEmpty() || !names.add(name)) {
-                throw new ConfigException("settings.request_classes." + i + ".name", name.isEmpty() ? "is missing"
-                        : "is another offering's too: " + name);
+                throw new ConfigException("settings.request_classes." + i + ".name",
+                        name.isEmpty() ? "is missing" : "is another offering's too: " + name);
             }
             String key = "request_classes." + i + ".hard_limit_us";
             longest = Math.max(longest, positive(key, reader.seconds(key, USUAL_OUTER_LIMIT)));
--- a/daemon/src/main/java/wheelroute/config/JsonPairs.java
+++ b/daemon/src/main/java/wheelroute/config/JsonPairs.java
@@ -26,7 +26,7 @@
             case START_ARRAY -> list(parser, path, into);
             case VALUE_NULL -> {
             }
-            // As it is: names go into paths and headers, where the wire's stand-in for a blank would be another.
+            // As it is: names come in paths and headers, and a stand-in for a blank would be another.
             default -> into.put(path, parser.getText());
         }
     }
--- a/daemon/src/main/java/wheelroute/net/Loop.java
+++ b/daemon/src/main/java/wheelroute/net/Loop.java
@@ -267,7 +267,8 @@
     }
 
     /** For tests, which hold back what a connection would tell. */
-    protected EndPoint endPoint(SocketChannel channel, ManagedSelector s, SelectionKey key, Scheduler timers) {
+    protected EndPoint endPoint(SocketChannel channel, ManagedSelector s, SelectionKey key,
+            Scheduler timers) {
         return new SocketChannelEndPoint(channel, s, key, timers);
     }
 
--- a/daemon/src/main/java/wheelroute/net/clients/Ahead.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Ahead.java
@@ -3,8 +3,8 @@
 import java.nio.ByteBuffer;
 
 /**
- * What a client sent before its turn. It is read on, under two bounds, so that the client's end is seen behind
- * it: a client that leaves while its submission waits leaves more than one unread message at times.
+ * What a client sent before its turn. It is read on, under two bounds, so that the client's end is seen
+ * behind it: a client that leaves while its submission waits leaves more than one unread message at times.
  */
 final class Ahead {
     /** Some messages of the largest kind: past it what comes waits with the system, and so does its end. */
--- a/daemon/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -26,10 +26,10 @@
     /** Decimals as a person writes them: what only Java reads ("1e9", "0x1p3", "NaN") no worker need read. */
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
     /**
-     * What a request line may hold (RFC 3986), with whole escapes: anything else a worker may close on. In its
-     * first part also letters that are no ASCII, as of platforms that put an offering's name there as it is;
-     * they go on byte for byte. It gives nothing back ("*+"): else the matcher calls itself for each character,
-     * and a long target ends the thread.
+     * What a request line may hold (RFC 3986), with whole escapes: anything else a worker may close on. In
+     * its first part also letters that are no ASCII, as of platforms that put an offering's name there as it
+     * is; they go on byte for byte. It gives nothing back ("*+"): else the matcher calls itself for each
+     * character, and a long target ends the thread.
      */
     private static final Pattern TARGET = Pattern.compile(
             "/(?:[A-Za-z0-9:@!$&'()*+,;=._~\u00a0-\ufffc-]|%[0-9A-Fa-f]{2})*+"
--- a/daemon/src/main/java/wheelroute/net/clients/ClientMessage.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientMessage.java
@@ -34,7 +34,8 @@
         byte[] in = text.getBytes(StandardCharsets.UTF_8);
         for (int i = 0; i < in.length; i++) {
             boolean escape = in[i] == '%';
-            out.write(escape ? Character.digit(in[i + 1], HEX) * HEX + Character.digit(in[i + 2], HEX) : in[i]);
+            out.write(!escape ? in[i]
+                    : Character.digit(in[i + 1], HEX) * HEX + Character.digit(in[i + 2], HEX));
             i += escape ? 2 : 0;
         }
         return out.toString(StandardCharsets.UTF_8);
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -20,7 +20,7 @@
     private static final long IDLE_MILLIS = 120_000;
     /** Of the heap so much may be clients' bodies: what they become on their way is as much again. */
     private static final double HELD_PART = 0.25;
-    /** And so much what they send before their turn: who sends much at once must not take the others' room. */
+    /** And so much what they send before their turn: who sends much must not take the others' room. */
     private static final double AHEAD_PART = 0.06;
     /** And no more than this, however large the heap: sixteen who send as much as is kept of one. */
     private static final long MOST_AHEAD = 16L * Ahead.MOST;
@@ -141,8 +141,8 @@
     }
 
     /**
-     * The process is about to end. What has come is read, and may be taken; all that say nothing are closed, so
-     * that nobody hands over a submission to a process that will not read it any more.
+     * The process is about to end. What has come is read, and may be taken; all that say nothing are closed,
+     * so that nobody hands over a submission to a process that will not read it any more.
      */
     public void lastLook() {
         for (Places.Stage stage : Places.Stage.values()) {
--- a/daemon/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/daemon/src/main/java/wheelroute/net/list/ListWatch.java
@@ -29,8 +29,8 @@
     }
 
     /**
-     * What a silent watch does not tell counts as told 6 s after it fell silent. Of these a call holds 3 to 3.8,
-     * so that as much is left to notice it, to wait for a turn at discovery and to ask once more.
+     * What a silent watch does not tell counts as told 6 s after it fell silent. Of these a call holds 3 to
+     * 3.8, so that enough is left to notice it, to wait for a turn at discovery and to ask once more.
      */
     private static final int HOLD_MILLIS = 3000;
     /** Dispatchers that start together would ask in step for ever, and wait for each other's answers. */
@@ -73,8 +73,8 @@
      * How it is to be asked.
      *
      * @param seed for the spread of its calls
-     * @param pushed it is an agent of this dispatcher's own, whose news count as told whether or not they were
-     *     asked for: then no failure is waited out
+     * @param pushed it is an agent of this dispatcher's own, whose news count as told whether or not they
+     *     were asked for: then no failure is waited out
      */
     public record Manner(long seed, boolean pushed) {
     }
@@ -261,7 +261,7 @@
                     .field("Host", ConfigReader.text(address)).noBody());
         }
 
-        /** An answer that has begun goes on, and comes to its end: what is in it may count as told already. */
+        /** An answer that has begun goes on, and comes to its end: its news may count as told already. */
         private void goesOn() {
             if (Double.isNaN(wholeBy)) {
                 wholeBy = loop.now() + WHOLE_SILENCE;
--- a/daemon/src/main/java/wheelroute/net/workers/Station.java
+++ b/daemon/src/main/java/wheelroute/net/workers/Station.java
@@ -56,8 +56,8 @@
     }
 
     /**
-     * An idle connection that can be used, a rested one if there is one; null for none. What must not run twice
-     * goes on a rested or a new one: on another it might be told the end of the launch before it.
+     * An idle connection that can be used, a rested one if there is one; null for none. What must not run
+     * twice goes on a rested or a new one: on another it might be told the end of the launch before it.
      */
     private WorkerConnection kept(boolean onlyRested) {
         WorkerConnection unrested = null;
@@ -146,8 +146,8 @@
     }
 
     /**
-     * Nothing new may go out to it: what it was chosen for, and has no connection yet, is decided on anew. The
-     * grace after the list's word is less than what a connection may take to come up.
+     * Nothing new may go out to it: what it was chosen for, and has no connection yet, is decided on anew.
+     * The grace after the list's word may be less than what a connection takes to come up.
      */
     void withdraw() {
         for (Flight flight : new ArrayList<>(boarding)) {
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -69,7 +69,7 @@
     protected void received(ByteBuffer in) {
         unheard = false;
         if (flight == null) {
-            // It answers twice, or says something of its own: begun now, it would be taken for the next answer.
+            // It answers twice, or says something of its own, which would be taken for the next answer.
             close();
             return;
         }
@@ -115,7 +115,7 @@
     public void ended(End end, byte[] result, double freeSlots) {
         tail = loop.later(TAIL, this::close);
         if (doubtful && !decoder.namesItsLaunch()) {
-            // It may be told of the one before, and this one run: closed first, it is no copy beside the next.
+            // It may be told of the one before, and this one run: ended first, it is no copy beside the next.
             close();
         }
         flight.end(end, result, freeSlots);
--- a/daemon/src/test/java/wheelroute/ConfigTest.java
+++ b/daemon/src/test/java/wheelroute/ConfigTest.java
@@ -126,10 +126,11 @@
         assertEquals(read(WHOLE, Map.of()).settings(), SettingsReader.read(0x8c1f30d27a5be964L, wire));
     }
 
-    /** Names that a path, a list or a key might be taken for: each stays what it is, and apart from the others. */
+    /** Names that look like a path's part, a list or a key: each stays what it is. */
     @Test
     public void namesStayWhatTheyAre() throws IOException, ConfigException {
-        for (String name : List.of("a b", "a_b", "a,b", "a.b", "limits", "memory_mb", "count", "healthz", "\u00e9t\u00e9")) {
+        for (String name : List.of("a b", "a_b", "a,b", "a.b", "limits", "memory_mb", "count", "healthz",
+                "\u00e9t\u00e9")) {
             Settings settings = read(WHOLE.replace("'name':'light'", "'name':'" + name + "'")
                     .replace("'name':'t'", "'name':'" + name + "'"), Map.of()).settings();
             assertEquals(settings.offerings().get(0).id().name(), name);
--- a/daemon/src/test/java/wheelroute/net/HeldLoop.java
+++ b/daemon/src/test/java/wheelroute/net/HeldLoop.java
@@ -86,7 +86,8 @@
     }
 
     @Override
-    protected EndPoint endPoint(SocketChannel channel, ManagedSelector s, SelectionKey key, Scheduler timers) {
+    protected EndPoint endPoint(SocketChannel channel, ManagedSelector s, SelectionKey key,
+            Scheduler timers) {
         return new SocketChannelEndPoint(channel, s, key, timers) {
             @Override
             public void fillInterested(Callback callback) {
--- a/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
+++ b/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
@@ -95,7 +95,7 @@
         assertEquals(metric("submissions_open"), 0);
     }
 
-    /** What came before its turn is read no further than to a bound, and all of it is answered, in its order. */
+    /** What came before its turn is read no further than to a bound, and answered whole, in its order. */
     @Test(timeOut = PATIENCE)
     public void whatComesAheadIsAnsweredInItsTurn() throws Exception {
         workers.answers.add(DONE);
@@ -383,7 +383,7 @@
         assertEquals(soon(discovery), HELD_CALL);
     }
 
-    /** An answer that stops in its middle may hold what counts as told: it is not waited for as a held call is. */
+    /** An answer that stops in its middle may hold what counts as told: it is given up sooner. */
     @Test(timeOut = PATIENCE)
     public void anAnswerThatStopsInItsMiddleIsGivenUp() throws Exception {
         clock.stop();
@@ -396,7 +396,7 @@
         assertEquals(soon(discovery), SHORT_CALL);
     }
 
-    /** Where the agent's news count as told unasked, no failure is waited out, the tenth no more than the first. */
+    /** Where the agent's news count as told unasked, no failure is waited out, nor is the tenth. */
     @Test(timeOut = PATIENCE)
     public void aPushedListIsAskedForAgainSoon() throws Exception {
         clock.stop();
@@ -446,7 +446,7 @@
         service = null;
     }
 
-    /** A fault of the decisions, from the taking on: its submission is scrapped at its outer limit all the same. */
+    /** A fault of the decisions, from the taking on: at its outer limit it is scrapped all the same. */
     @Test(timeOut = PATIENCE)
     public void aFaultOfTheDecisionsTakesNoAnswerWithIt() throws Exception {
         wantsFaults = true;
--- a/daemon/src/test/java/wheelroute/net/ServiceTest.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceTest.java
@@ -421,7 +421,8 @@
     @Test(dataProvider = "badStarts", timeOut = PATIENCE)
     public void namesWhatKeepsItFromStarting(String known, String key) throws Exception {
         Config config = new Config("n0", discovery.listen(), discovery.listen(), null, null, 64, Double.NaN,
-                known.getBytes(StandardCharsets.UTF_8), new World.Given().settings(), 0.5, 10, 2, false, null);
+                known.getBytes(StandardCharsets.UTF_8), new World.Given().settings(), 0.5, 10, 2, false,
+                null);
         String message = expectThrows(ConfigException.class, () -> new Service(config).start()).getMessage();
         assertTrue(message.contains("'" + key + "'"), message);
     }
--- a/daemon/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
+++ b/daemon/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
@@ -85,8 +85,9 @@
         assertEquals(message.offering(), name);
         assertEquals(message.tenant(), name);
         // To the worker it goes as it came, byte for byte.
-        assertTrue(World.text(new LaunchMessage(message.method(), message.target(), message.id(), null, null,
-                message.body(), false).encode("a", 1)).startsWith("POST /" + inPath + "/a%20b?q=1&r HTTP/1.1\r\n"));
+        String sent = World.text(new LaunchMessage(message.method(), message.target(), message.id(), null,
+                null, message.body(), false).encode("a", 1));
+        assertTrue(sent.startsWith("POST /" + inPath + "/a%20b?q=1&r HTTP/1.1\r\n"), sent);
     }
 
     @DataProvider
--- a/kit/src/main/java/wheelroute/kit/audit/Auditor.java
+++ b/kit/src/main/java/wheelroute/kit/audit/Auditor.java
@@ -40,7 +40,7 @@
      */
     private static final double TURN = 0.02;
 
-    /** A client that left while its submission waited was seen to leave after this: nothing goes out for it. */
+    /** That a client left while its submission waited is seen within this: nothing goes out for it. */
     private static final double LEFT = 0.3;
 
     /** Words of the histories, made once: they are noted millions of times and seldom read. */
