--- a/daemon/src/main/java/wheelroute/net/Loop.java
+++ b/daemon/src/main/java/wheelroute/net/Loop.java
@@ -84,7 +84,6 @@
             Comparator.comparingDouble((Timer t) -> t.due).thenComparingLong(t -> t.number));
     private final Map<SocketAddress, Peer> listeners = new HashMap<>();
     private final ByteBuffer readBuffer = BufferUtil.allocateDirect(READ_BUFFER);
-    private final ByteBuffer peekBuffer = BufferUtil.allocate(1);
     private final ByteBuffer lookBuffer = BufferUtil.allocate(LOOK_BUFFER);
     private long lastTimer;
     private Thread thread;
@@ -130,12 +129,6 @@
         return readBuffer;
     }
 
-    /** Empty, with room for a byte: for connections on which nothing should come. */
-    public ByteBuffer peekBuffer() {
-        BufferUtil.clear(peekBuffer);
-        return peekBuffer;
-    }
-
     /** Empty, and apart from the others: a look at one connection may come while another's bytes are read. */
     public ByteBuffer lookBuffer() {
         BufferUtil.clear(lookBuffer);
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -59,7 +59,7 @@
     /** Looks for an end that has come but was not told yet: a launch written after it may count as run. */
     boolean isUsable() {
         try {
-            return !busy && getEndPoint().isOpen() && getEndPoint().fill(loop.peekBuffer()) == 0;
+            return !busy && getEndPoint().isOpen() && getEndPoint().fill(loop.lookBuffer()) == 0;
         } catch (IOException e) {
             return false;
         }
--- a/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
+++ b/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
@@ -336,10 +336,6 @@
 
     // ---- list watches
 
-    private static String http(String body) {
-        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
     private static final String NOTHING_NEW = "{\"version\":5,\"full\":false,\"servers\":[]}";
     private static final String HELD_CALL = "GET /v1/servers?from=5&hold_ms=HELD HTTP/1.1";
     private static final String SHORT_CALL = "GET /v1/servers?from=5&hold_ms=0 HTTP/1.1";
@@ -432,9 +428,7 @@
         assertEquals(status(ask(connect(), HEALTH)), 200);
         loop.step(WHILE);
         CompletableFuture<Void> ended = drain(service);
-        while (!ask(connect(), HEALTH).startsWith("HTTP/1.1 503")) {
-            LockSupport.parkNanos(1_000_000);
-        }
+        awaitDraining();
         send(silent, post(10));
         // Until the end, or until it was seen; then the worker has all the time that it needs.
         while (service.counters().value(Counters.Kind.LAUNCHED) == 0 && !ended.isDone()) {
--- a/daemon/src/test/java/wheelroute/net/ServiceHarness.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceHarness.java
@@ -262,6 +262,19 @@
         return read(socket.getInputStream());
     }
 
+    protected static String http(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Waits until the service says to who asks that it has been told to end. */
+    protected String awaitDraining() throws IOException {
+        String health = "";
+        while (!health.startsWith("HTTP/1.1 503")) {
+            health = ask(connect(), HEALTH);
+        }
+        return health;
+    }
+
     protected static int status(String answer) {
         return Integer.parseInt(answer.split(" ")[1]);
     }
--- a/daemon/src/test/java/wheelroute/net/ServiceTest.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceTest.java
@@ -342,10 +342,6 @@
         };
     }
 
-    private static String http(String body) {
-        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
     /** Rule 3 needs a watch that neither lapses nor hangs, whatever discovery answers. */
     @Test(dataProvider = "lists", timeOut = PATIENCE)
     public void goesOnWatching(String answer, String call) throws Exception {
@@ -427,15 +423,6 @@
         assertTrue(message.contains("'" + key + "'"), message);
     }
 
-    /** Waits until the service says to who asks that it has been told to end. */
-    private String awaitDraining() throws IOException {
-        String health = "";
-        while (!health.startsWith("HTTP/1.1 503")) {
-            health = ask(connect(), HEALTH);
-        }
-        return health;
-    }
-
     /** Who is alone serves its kept connections to the end, and tells the others when it will be back. */
     @Test(timeOut = PATIENCE)
     public void servesOnWhileItDrainsAlone() throws Exception {
