Discovery's news come in time after an outage, however the calls before failed

Ruled out: the list's reading (the calls came late, not the answers). At fault: Policy.listFailed, whose pause grew to 4 s times up to 2, and ListWatch, where a call after a failure held for up to 3.8 s or was silent for 3 s more.

After a failure calls hold nothing until one is answered, and have 1.8 s, their connect included. Watches hold 3 to 3.6 s and are silent 0.9 s later, noticed after 4.5 s at most. A connection that discovery ends with its answer is no failure any more: our own close was taken for one, and began a pause beside the new call.

--- a/daemon/src/main/java/wheelroute/adapter/Adapter.java
+++ b/daemon/src/main/java/wheelroute/adapter/Adapter.java
@@ -16,6 +16,7 @@
 import wheelroute.decision.Policy;
 import wheelroute.decision.Settings;
 import wheelroute.decision.Submission;
+import wheelroute.list.Backoff;
 
 /** Reads batches of events, hands each to its instance's policy, and answers with what they decide. */
 public final class Adapter {
@@ -31,6 +32,8 @@
     private static final class Instance {
         final long number;
         Policy policy;
+        /** Null where the list comes unasked. */
+        Backoff backoff;
         final Map<Long, Policy.Handle> handles = new HashMap<>();
         final Map<String, Ids.Offering> offerings = new HashMap<>();
         final Map<String, Ids.Tenant> tenants = new HashMap<>();
@@ -115,6 +118,7 @@
         current.handles.clear();
         current.policy = new Policy(settings, reply.forInstance(current.number));
         current.policy.at(now);
+        current.backoff = settings.listMustBeAsked() ? new Backoff(seed) : null;
     }
 
     private void event(String message) throws IOException, WireException {
@@ -127,8 +131,11 @@
             case "FINISHED" -> finished();
             case "UPDATE_OF" -> news();
             case "BELL" -> {
-                line.rest();
-                current.policy.woken();
+                if (line.rest().equals(ReplyWriter.LIST_TOKEN)) {
+                    reply.forInstance(current.number).watchList();
+                } else {
+                    current.policy.woken();
+                }
             }
             case "SYNC" -> list();
             case "PROBED" -> probed();
@@ -288,7 +295,10 @@
         long count = line.hasMore() ? line.wholeOr("items", 0) : 0;
         line.expectEnd();
         if (form.equals("X")) {
-            current.policy.listFailed();
+            if (current.backoff != null) {
+                // How long the call took is not told here: it failed as soon as it could.
+                reply.wakeAfter(current.number, current.backoff.failed(0), ReplyWriter.LIST_TOKEN);
+            }
             return;
         }
         List<Listing> entries = new ArrayList<>();
@@ -301,7 +311,11 @@
                 line.expectEnd();
             }
         }
-        current.policy.listed(entries, whole, form.equals("C"));
+        if (current.backoff != null && !form.equals("C")) {
+            // A remembered list answers no call of ours.
+            current.backoff.answered();
+        }
+        current.policy.listed(entries, whole);
     }
 
     private Listing row() throws WireException {
--- a/daemon/src/main/java/wheelroute/adapter/ReplyWriter.java
+++ b/daemon/src/main/java/wheelroute/adapter/ReplyWriter.java
@@ -13,6 +13,8 @@
     private static final int LONGEST_NUMBER = 20;
     private static final double MICROS = 1e6;
     private static final String WAKE_TOKEN = "w";
+    /** Of a wake at which the list is asked for again, which the decisions need not hear of. */
+    static final String LIST_TOKEN = "l";
 
     private final OutputStream out;
     private byte[] buffer = new byte[FIRST_BUFFER];
@@ -58,7 +60,7 @@
 
             @Override
             public void wake(double delay) {
-                from(instance).word("SLEEP").number(micros(delay)).word(WAKE_TOKEN).end();
+                wakeAfter(instance, delay, WAKE_TOKEN);
             }
 
             @Override
@@ -68,6 +70,10 @@
         };
     }
 
+    void wakeAfter(long instance, double delay, String token) {
+        from(instance).word("SLEEP").number(micros(delay)).word(token).end();
+    }
+
     private static long micros(double seconds) {
         return Math.round(seconds * MICROS);
     }
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -80,9 +80,6 @@
     private static final double TRANSIT = 0.5;
     /** Nothing is launched that has less than this left: it could not even reach a worker and return. */
     private static final double LAST_CALL = 0.02;
-    /** A failed watch is asked for again after this long, doubling up to the last. */
-    private static final double FIRST_ASK = 0.5;
-    private static final double LONGEST_ASK = 4;
     /** A second choice must wait at most this part of what is borne: overload must not fill every queue. */
     private static final double SECOND_BEST = 0.4;
     /** But a wait of this part of the quoted time is borne in any case. */
@@ -135,8 +132,6 @@
     private Parts parts;
     private boolean awake;
     private double sweepAt;
-    private double watchAgainAt = Double.NaN;
-    private double askPause = FIRST_ASK;
 
     public Policy(Settings settings, Dispatcher dispatcher) {
         this.settings = settings;
@@ -165,10 +160,6 @@
             return;
         }
         awake = false;
-        if (now >= watchAgainAt) {
-            watchAgainAt = Double.NaN;
-            dispatcher.watchList();
-        }
         models.values().forEach(model -> model.stillWaiting = 0);
         for (Worker w : new ArrayList<>(holding)) {
             w.noteRunning();
@@ -180,27 +171,15 @@
 
     /** Guards against a fleet of near idle dispatchers that spends its time on looking at nothing. */
     private void stayAwake() {
-        if (!awake && (!holding.isEmpty() || !lines.isEmpty() || !Double.isNaN(watchAgainAt))) {
+        if (!awake && (!holding.isEmpty() || !lines.isEmpty())) {
             awake = true;
             sweepAt = now + SWEEP / 2;
             dispatcher.wake(SWEEP);
         }
     }
 
-    /** A failed or broken watch: the old list still holds, but not hearing of a drain is no excuse. */
-    public void listFailed() {
-        if (settings.listMustBeAsked()) {
-            watchAgainAt = now + askPause * (1 + chance());
-            askPause = Math.min(LONGEST_ASK, 2 * askPause);
-            stayAwake();
-        }
-    }
-
-    /** The list's news: whole lists drop who is not in them. A remembered one answers no call of ours. */
-    public void listed(List<Listing> entries, boolean whole, boolean remembered) {
-        if (!remembered) {
-            askPause = FIRST_ASK;
-        }
+    /** The list's news: whole lists drop who is not in them. */
+    public void listed(List<Listing> entries, boolean whole) {
         if (whole) {
             workers.values().forEach(w -> w.named = false);
         }
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/list/package-info.java
@@ -0,0 +1,2 @@
+/** When discovery is asked again. Decides; no I/O, no clock. */
+package wheelroute.list;
--- a/daemon/src/main/java/wheelroute/net/Exchanges.java
+++ b/daemon/src/main/java/wheelroute/net/Exchanges.java
@@ -220,10 +220,6 @@
 
     @Override
     public void listed(WorkerList list) {
-        listed(list, false);
-    }
-
-    void listed(WorkerList list, boolean remembered) {
         List<Listing> entries = new ArrayList<>();
         Map<String, Ids.Worker> lost = new HashMap<>();
         List<Ids.Worker> draining = new ArrayList<>();
@@ -248,7 +244,7 @@
                     new Ids.Zone(entry.zone()), entry.startedAt(), new Ids.Cell(entry.cell()),
                     entry.readiness()));
         }
-        turn(() -> policy.listed(entries, list.whole(), remembered));
+        turn(() -> policy.listed(entries, list.whole()));
         workers.settle(draining);
         lost.forEach((name, worker) -> {
             workers.gone(worker);
@@ -257,11 +253,6 @@
         });
     }
 
-    @Override
-    public void listFailed() {
-        turn(policy::listFailed);
-    }
-
     // ---- from another process of this dispatcher
 
     void handover(Handover newHandover) {
@@ -284,7 +275,7 @@
     public void listTold(byte[] list) throws IOException {
         WorkerList told = WorkerList.decode(list);
         if (told.version() > version) {
-            listed(told, true);
+            listed(told);
         }
     }
 
--- a/daemon/src/main/java/wheelroute/net/Service.java
+++ b/daemon/src/main/java/wheelroute/net/Service.java
@@ -116,7 +116,7 @@
         if (config.known() != null) {
             WorkerList known = known();
             version = known.version();
-            exchanges.listed(known, true);
+            exchanges.listed(known);
         }
         exchanges.watch(new ListWatch(loop, discovery, counters, exchanges, version, manner()));
         clients = new Clients(loop, exchanges, counters, part(CLIENTS_PART));
--- a/daemon/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/daemon/src/main/java/wheelroute/net/list/ListWatch.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
-import java.util.zip.CRC32;
+import java.util.SplittableRandom;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -13,6 +13,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wheelroute.config.ConfigReader;
+import wheelroute.list.Backoff;
 import wheelroute.net.AnswerParser;
 import wheelroute.net.Counters;
 import wheelroute.net.HttpText;
@@ -24,23 +25,22 @@
     /** What the watch brings. */
     public interface Hearer {
         void listed(WorkerList list);
-
-        void listFailed();
     }
 
     /**
      * What a silent watch does not tell counts as told 6 s after it fell silent. Of these a call holds 3 to
-     * 3.8, so that enough is left to notice it, to wait for a turn at discovery and to ask once more.
+     * 3.6, so that it is noticed after 4.5 at most, and enough is left to wait for a turn at discovery and to
+     * ask once more.
      */
     private static final int HOLD_MILLIS = 3000;
     /** Dispatchers that start together would ask in step for ever, and wait for each other's answers. */
-    private static final int HOLD_SPREAD_MILLIS = 800;
+    private static final int HOLD_SPREAD_MILLIS = 600;
     /** An answer this long after its hold is over is given up. */
-    private static final double SILENCE = 1;
+    private static final double SILENCE = 0.9;
     /** So long after a silence failures are not waited out, as the time for what it kept from us runs. */
     private static final double CATCH_UP = 2;
-    /** A call that holds nothing may still wait its turn at discovery, and has 6 s before its news count. */
-    private static final double WHOLE_SILENCE = 3;
+    /** An answer that has begun has so long for the rest of it, as long as it goes on. */
+    private static final double WHOLE_ANSWER = 3;
     /** Half of what may pass between two calls of one watch. */
     private static final double EARLY_PAUSE = 0.1;
     /** The largest list that is read: some thousands of workers, and yet a bound. */
@@ -66,8 +66,10 @@
     private double hurryUntil = Double.NEGATIVE_INFINITY;
     private boolean stopped;
     private final Manner manner;
-    private final CRC32 crc = new CRC32();
-    private long draws;
+    private final Backoff backoff;
+    private final SplittableRandom random;
+    /** The last call failed, and no call since has been answered: what is known there is wanted at once. */
+    private boolean recovering;
 
     /**
      * How it is to be asked.
@@ -87,6 +89,8 @@
         this.hearer = hearer;
         this.version = version;
         this.manner = manner;
+        random = new SplittableRandom(manner.seed);
+        backoff = new Backoff(random.nextLong());
         wantsWhole = version == NOTHING;
     }
 
@@ -95,7 +99,7 @@
         if (call == null && !stopped) {
             call = new Call();
             loop.connect(address, call);
-            waitFor(wholeSilence());
+            waitFor(patience());
         }
     }
 
@@ -124,8 +128,9 @@
         return loop.now() < hurryUntil;
     }
 
-    private double wholeSilence() {
-        return isInHurry() ? HURRIED_SILENCE : WHOLE_SILENCE;
+    /** How long a call that holds nothing may take, with its connection's coming up. */
+    private double patience() {
+        return isInHurry() ? HURRIED_SILENCE : Backoff.PATIENCE;
     }
 
     private void waitFor(double limit) {
@@ -141,7 +146,7 @@
         if (isFailed(which, "silence")) {
             if (which.hold == 0) {
                 // It is not the one watch: discovery may have more to do than it can, and needs a pause.
-                failed();
+                failed(which);
             } else {
                 hurryUntil = loop.now() + CATCH_UP;
                 watch();
@@ -151,16 +156,13 @@
 
     private void failed(Call which, String why) {
         if (isFailed(which, why)) {
-            failed();
+            failed(which);
         }
     }
 
-    private void failed() {
-        if (isInHurry() || manner.pushed) {
-            loop.later(HURRIED_PAUSE, this::watch);
-        } else {
-            hearer.listFailed();
-        }
+    private void failed(Call which) {
+        double pause = backoff.failed(loop.now() - which.askedAt);
+        loop.later(isInHurry() || manner.pushed ? HURRIED_PAUSE : pause, this::watch);
     }
 
     /** A watch that worked ended without a word: what it would have told next should not wait for a pause. */
@@ -169,7 +171,7 @@
             if (which.worked) {
                 watch();
             } else {
-                failed();
+                failed(which);
             }
         }
     }
@@ -180,19 +182,18 @@
         }
         LOG.info("a call for the list failed: {}", why);
         counters.count(Counters.Kind.LIST_FAILURES);
+        recovering = true;
         drop();
         return true;
     }
 
     /** How long the next call may wait at discovery, in milliseconds. */
     private int hold() {
-        if (isInHurry()) {
+        if (isInHurry() || recovering) {
             // What is known there is wanted at once, and whether it answers at all.
             return 0;
         }
-        crc.reset();
-        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(manner.seed).putLong(++draws).flip());
-        return HOLD_MILLIS + (int) (crc.getValue() % HOLD_SPREAD_MILLIS);
+        return HOLD_MILLIS + random.nextInt(HOLD_SPREAD_MILLIS);
     }
 
     /** Takes an answer; true when it told something. */
@@ -220,7 +221,9 @@
         private final AnswerParser parser = new AnswerParser(this);
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private EndPoint endPoint;
-        private double askedAt;
+        /** Of the call now made: its connect's beginning, or the end of the answer before it. */
+        private double askedAt = loop.now();
+        private boolean asked;
         private double hold;
         /** It has answered before. */
         private boolean worked;
@@ -250,12 +253,13 @@
                 return;
             }
             counters.count(Counters.Kind.LIST_CALLS);
-            askedAt = loop.now();
+            askedAt = asked ? loop.now() : askedAt;
+            asked = true;
             wholeBy = Double.NaN;
             int holdMillis = wantsWhole ? 0 : hold();
             hold = holdMillis / MILLIS;
             String target = "/v1/servers" + (wantsWhole ? "" : "?from=" + version + "&hold_ms=" + holdMillis);
-            waitFor(holdMillis == 0 ? wholeSilence() : hold + SILENCE);
+            waitFor(holdMillis == 0 ? askedAt + patience() - loop.now() : hold + SILENCE);
             endPoint.write(Callback.from(() -> { }, cause -> loop.post(() -> failed(cause))),
                     new HttpText("GET " + target + " HTTP/1.1")
                     .field("Host", ConfigReader.text(address)).noBody());
@@ -264,7 +268,7 @@
         /** An answer that has begun goes on, and comes to its end: its news may count as told already. */
         private void goesOn() {
             if (Double.isNaN(wholeBy)) {
-                wholeBy = loop.now() + WHOLE_SILENCE;
+                wholeBy = loop.now() + WHOLE_ANSWER;
             }
             waitFor(Math.min(SILENCE, wholeBy - loop.now()));
         }
@@ -291,6 +295,8 @@
         public void end(boolean keepsOpen) throws IOException {
             boolean told = take(body.toByteArray());
             worked = true;
+            recovering = false;
+            backoff.answered();
             boolean early = loop.now() - askedAt < HOLD_MILLIS / MILLIS / 2;
             if (!told && early) {
                 // Guards against a discovery that does not hold: calls without a pause would be all it does.
@@ -308,9 +314,10 @@
             if (keepsOpen) {
                 ask();
             } else {
-                // The next call needs a new connection, but is still the same watch.
-                close();
+                // The next call needs a new connection, but is still the same watch. It is not this one's end
+                // that the close tells of: that would count as a failure.
                 call = null;
+                close();
                 watch();
                 if (call != null) {
                     call.worked = true;
--- a/daemon/src/test/java/wheelroute/AdapterTest.java
+++ b/daemon/src/test/java/wheelroute/AdapterTest.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import wheelroute.adapter.Adapter;
@@ -67,6 +68,26 @@
         assertEquals(run(input), expected);
     }
 
+    /** After each failure: a wake of the list's own, and the call at that wake and no other. */
+    @Test
+    public void theListIsAskedForAgainAfterEachFailure() throws IOException, WireException {
+        String asked = batch("").replace("membership_mode=push", "membership_mode=ask");
+        String failed = "FRAME 2000\nAT 3\nSYNC X - 0\nYOUR_TURN\n";
+        String other = "FRAME 3000\nAT 3\nBELL w\nYOUR_TURN\n";
+        String due = "FRAME 9000000\nAT 3\nBELL l\nYOUR_TURN\n";
+        String again = "SOURCE 3\nSLEEP \\d+ l\nDONE\nDONE\nSOURCE 3\nWATCH 1\nDONE\n";
+        String said = run(asked + (failed + other + due).repeat(4));
+        assertTrue(said.matches("SOURCE 3\nWATCH 1\nDONE\n(" + again + "){4}"), said);
+        int[] pauses = Pattern.compile("SLEEP (\\d+) l").matcher(said).results()
+                .mapToInt(found -> Integer.parseInt(found.group(1))).toArray();
+        assertTrue(pauses[0] >= 500_000 && pauses[0] < 1_000_000, said);
+        assertTrue(pauses[3] >= 1_500_000 && pauses[3] < 3_000_000, said);
+        // An answer ends it: the next failure is a first one.
+        String answered = "FRAME 9500000\nAT 3\nSYNC D 2 0\nYOUR_TURN\n";
+        assertTrue(run(asked + (failed + due).repeat(4) + answered + failed)
+                .matches("(?s).*SLEEP [5-9]\\d{5} l\nDONE\n"));
+    }
+
     @DataProvider
     public Object[][] malformed() {
         return new Object[][] {
