--- a/daemon/src/test/java/wheelroute/StartScriptTest.java
+++ b/daemon/src/test/java/wheelroute/StartScriptTest.java
@@ -35,6 +35,13 @@
             {"{\"limits\":{\"memory_mb\":12345678901234567890}}", "-Xmx96m"},
             {"{\"limits\":{\"memory_mb\":080}}", "-Xmx96m"},
             {"{\"limits\":{\"cores\":1},\"other\":{\"memory_mb\":64}}", "-Xmx96m"},
+            // Cut in two by the end of a block that is read, wherever in it that falls, and without an end.
+            {" ".repeat(65_536 - 12) + "{\"limits\":{\"memory_mb\":80}}", "-Xmx35m"},
+            {" ".repeat(65_536 - 24) + "{\"limits\":{\"memory_mb\":80}}", "-Xmx35m"},
+            {" ".repeat(65_536 - 25) + "{\"limits\":{\"memory_mb\":80}}", "-Xmx35m"},
+            {" ".repeat(200_000) + "{\"limits\":{\"memory_mb\":208}," + " ".repeat(100_000)
+                + "\"admin\":\"127.0.0.1:1\"}", "-Xmx59m"},
+            {"{\"limits\":{\"memory_mb\":80", "-Xmx96m"},
             {"* $(echo) `echo` \\", "-Xmx96m"},
             {"", "-Xmx96m"},
             // Two processes share what one has: half of it each, with a door in the file or the environment.
@@ -83,7 +90,7 @@
     private static Result start(Path dir, Map<String, String> variables) throws Exception {
         Path runtime = Files.writeString(dir.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertTrue(runtime.toFile().setExecutable(true));
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", ROOT.resolve("deploy/run.sh").toString());
+        ProcessBuilder builder = new ProcessBuilder("/bin/bash", ROOT.resolve("deploy/run.sh").toString());
         builder.environment().clear();
         builder.environment().put("PATH", dir.toString());
         builder.environment().putAll(variables);
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,45 +1,45 @@
-#!/bin/sh
+#!/usr/bin/env bash
 # Starts one dispatcher with a heap that follows the memory it may take, as LB_CONFIG tells.
 # Nothing but the shell's own words until the exec: where forks are refused, a pipeline ends the start.
 # The runtime itself, class data, compiled code, stacks and buffers take some 45 MB beside the heap.
 set -euf
 own=45
 usual=192
-: "${LB_CONFIG:?names no configuration file}"
-text=
-# What cannot be read is the program's to tell, with the file or the key that is at fault.
-if [ -r "$LB_CONFIG" ] && [ ! -d "$LB_CONFIG" ]; then
-    while read -r line || [ -n "$line" ]; do
-        # A carriage return is a blank to JSON, but not to the shell.
-        text="$text ${line%[[:cntrl:]]}"
-        # As soon as it is there: a shell reads byte by byte, and the list of workers may be long. A colon follows
-        # a key only: an offering may have the same name.
-        case $line in
-            *'"memory_mb":'*[0-9]* | *'"memory_mb" :'*[0-9]*) case $text in *'"limits"'*) break ;; esac ;;
-        esac
-    done < "$LB_CONFIG"
+if [ -z "${LB_CONFIG-}" ]; then
+    echo "$0: LB_CONFIG: names no configuration file" >&2
+    exit 2
 fi
-# Without blanks, as JSON may hold them anywhere: split at them, and joined by an empty IFS.
-set -- $text
-IFS=
-text=$*
-# Split at closing braces: cutting a long text at a pattern would compare each of its beginnings.
-IFS='}'
-set -- $text
 memory=$usual
-for part in "$@"; do
-    case $part in
-        *'"limits":{'*'"memory_mb":'[1-9]*)
-            memory=${part##*'"memory_mb":'}
-            memory=${memory%%[!0-9]*}
+door=${LB_ADMIN-}
+
+# Read in blocks: a shell without them reads byte by byte, which takes seconds where the file remembers a long list
+# of workers. Only keys count: an offering may have the same name. An object of limits holds no others.
+find_limits() {
+    # Bytes are enough here, and are looked through faster than letters; the program keeps its own locale.
+    local LC_ALL=C
+    local block=65536 kept=4096 blank='[[:space:]]*' text='' more found=
+    local limits="\"limits\"$blank:$blank[{][^}]*\"memory_mb\"$blank:$blank([1-9][0-9]*)[^0-9]"
+    local admin="\"admin\"$blank:$blank\""
+    while IFS= read -r -N "$block" more || [ -n "$more" ]; do
+        text=$text$more
+        if [ -z "$found" ] && [[ $text =~ $limits ]]; then
+            found=${BASH_REMATCH[1]}
             # More digits than these are no size, and the shell might not reckon with them.
-            [ "${#memory}" -le 6 ] || memory=$usual
-            ;;
-    esac
-done
-unset IFS
+            [ "${#found}" -gt 6 ] || memory=$found
+        fi
+        if [ -z "$door" ] && [[ $text =~ $admin ]]; then
+            door=file
+        fi
+        # What a block's end cuts in two is whole in the next.
+        [ "${#text}" -le "$kept" ] || text=${text: -kept}
+    done < "$LB_CONFIG"
+}
+
+# What cannot be read is the program's to tell, with the file or the key that is at fault.
+if [ -r "$LB_CONFIG" ] && [ ! -d "$LB_CONFIG" ]; then
+    find_limits
+fi
 # Where there is a door for operators this process is replaced beside its successor, and the two share the memory.
-case $text in *'"admin":"'*) door=file ;; *) door=${LB_ADMIN-} ;; esac
 [ -z "$door" ] || memory=$((memory / 2))
 heap=$((memory - own))
 # Under the least nothing could be served; past the most a dispatcher has no use for it.
--- /dev/null
+++ b/kit/src/test/java/wheelroute/kit/real/StartsTest.java
@@ -0,0 +1,116 @@
+package wheelroute.kit.real;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Processes that start together by the shipped script, while discovery is down: how soon they take clients. */
+public class StartsTest {
+    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+    /** Nine in ten of those that start together are to be ready within this. */
+    private static final double IN_TIME = 10;
+    private static final double NINE_IN_TEN = 0.9;
+    private static final double GIVEN_UP = 60;
+
+    @DataProvider
+    public Object[][] starts() {
+        return new Object[][] {
+            // processes at once, workers in the remembered list, megabytes each may take
+            {32, 0, 128}, {32, 200, 128}, {4, 30_000, 192},
+        };
+    }
+
+    /** Discovery refuses all the while: what is remembered has to do, and nobody waits for an answer. */
+    @Test(dataProvider = "starts", timeOut = 120_000)
+    public void nineInTenAreReadyInTime(int processes, int workers, int memory) throws Exception {
+        Path directory = Files.createTempDirectory("starts");
+        List<Process> started = new ArrayList<>();
+        List<Path> logs = new ArrayList<>();
+        try {
+            String known = known(workers);
+            for (int i = 0; i < processes; i++) {
+                logs.add(directory.resolve("log" + i));
+                Files.writeString(directory.resolve("config" + i), config(i, processes, memory, known));
+            }
+            long begun = System.nanoTime();
+            for (int i = 0; i < processes; i++) {
+                ProcessBuilder builder = new ProcessBuilder("bash", "deploy/run.sh").directory(ROOT.toFile());
+                builder.environment().put("LB_CONFIG", directory.resolve("config" + i).toString());
+                builder.environment().put("TMPDIR", directory.toString());
+                started.add(builder.redirectErrorStream(true).redirectOutput(logs.get(i).toFile()).start());
+            }
+            double[] ready = new double[processes];
+            double now = 0;
+            while (IntStream.range(0, processes).anyMatch(i -> ready[i] == 0) && now < GIVEN_UP) {
+                now = (System.nanoTime() - begun) / (double) TimeUnit.SECONDS.toNanos(1);
+                for (int i = 0; i < processes; i++) {
+                    ready[i] = ready[i] == 0 && text(logs.get(i)).contains("listens on") ? now : ready[i];
+                }
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+            }
+            for (int i = 0; i < processes; i++) {
+                assertTrue(ready[i] > 0, text(logs.get(i)));
+            }
+            long inTime = IntStream.range(0, processes).filter(i -> ready[i] <= IN_TIME).count();
+            assertTrue(inTime >= NINE_IN_TEN * processes, inTime + " of " + processes + " in time");
+        } finally {
+            started.forEach(process -> process.toHandle().destroy());
+            for (Process process : started) {
+                assertEquals(process.waitFor(), 0);
+            }
+            started.clear();
+            for (int i = 0; i < processes; i++) {
+                Files.deleteIfExists(logs.get(i));
+                Files.deleteIfExists(directory.resolve("config" + i));
+            }
+            Files.deleteIfExists(directory);
+        }
+    }
+
+    private static String text(Path log) throws IllegalStateException {
+        try {
+            return Files.exists(log) ? Files.readString(log, StandardCharsets.UTF_8) : "";
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** In one line, as programs write it. */
+    private static String known(int workers) {
+        StringBuilder out = new StringBuilder("{\"version\":3,\"full\":true,\"servers\":[");
+        for (int i = 0; i < workers; i++) {
+            out.append(i > 0 ? "," : "").append(String.format(Locale.ROOT, "{\"id\":\"s-%08x\",\"addr\":"
+                    + "\"127.%d.%d.%d:9001\",\"zone\":\"z%d\",\"kind\":\"m%d\",\"cell\":%d,\"state\":\"ready\","
+                    + "\"weight\":1.0,\"started_ms\":0}", i, 1 + i / 62_500, i / 250 % 250, 1 + i % 250, i % 13,
+                    i % 3, i % 40));
+        }
+        return out.append("]}").toString();
+    }
+
+    private static String config(int number, int all, int memory, String known) throws IOException {
+        return "{\"name\":\"n" + number + "\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + closedPort()
+                + "\",\"known\":" + known + ",\"settings\":{\"az\":\"z1\",\"balancers\":" + all
+                + ",\"request_classes\":[{\"name\":\"job\",\"effect\":\"free\",\"on_time_us\":500000,"
+                + "\"hard_limit_us\":5000000,\"worth\":1}]},\"limits\":{\"memory_mb\":" + memory + "}}";
+    }
+
+    private static int closedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
