A connection's parser keeps no cache of fields: a thousand launches fit into 128 MB

A histogram of its heap at 500: 1,216 char[] of 21.9 MB and 229 nodes of ArrayTrie, though 229 of its 1,002 parsers had made one. Ruled out: workers, samples, launches, 1 MB in all. At fault: Jetty's HttpParser, which makes a cache of known fields for each connection with its second message, 115 KB for a client's and a worker's.

Change: the two parsers are made without one. The test counts what a client's and a worker's connection allocate over two messages: 115,496 bytes before, under 20,000 now.

--- a/daemon/src/main/java/wheelroute/net/AnswerParser.java
+++ b/daemon/src/main/java/wheelroute/net/AnswerParser.java
@@ -25,7 +25,7 @@
     private static final HttpCompliance READING = HttpCompliance.RFC9110;
     private static final int FIRST_FINAL_STATUS = 200;
 
-    private final HttpParser parser = new HttpParser(this, MOST_HEAD, READING);
+    private final HttpParser parser = lean(new HttpParser(this, MOST_HEAD, READING));
     private final Reader reader;
     private int status;
     private IOException fault;
--- a/daemon/src/main/java/wheelroute/net/MessageReader.java
+++ b/daemon/src/main/java/wheelroute/net/MessageReader.java
@@ -14,6 +14,15 @@
     private boolean keepsOpen;
     private boolean complete;
 
+    /**
+     * A parser for one connection. It does not remember fields to know them again: what for that it would make
+     * with the first message takes some 100 KB, and a thousand connections the heap of a small dispatcher.
+     */
+    protected static HttpParser lean(HttpParser parser) {
+        parser.setHeaderCacheSize(0);
+        return parser;
+    }
+
     protected void begin(HttpVersion version) {
         fields.clear();
         keepsOpen = version == HttpVersion.HTTP_1_1;
--- a/daemon/src/main/java/wheelroute/net/clients/ClientDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientDecoder.java
@@ -44,7 +44,7 @@
     /** What stands for bytes that are no text. */
     private static final char NO_CHARACTER = '\ufffd';
 
-    private final HttpParser parser = new HttpParser(this, MOST_HEAD, READING);
+    private final HttpParser parser = lean(new HttpParser(this, MOST_HEAD, READING));
     private final Room room;
     private byte[] body = NO_BODY;
     private int filled;
--- a/daemon/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
+++ b/daemon/src/test/java/wheelroute/net/clients/ClientDecoderTest.java
@@ -6,11 +6,16 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import wheelroute.World;
+import wheelroute.net.AnswerParser;
 import wheelroute.net.workers.LaunchMessage;
 
 /** Clients' messages in all the shapes that a network or a stranger may give them. */
@@ -24,6 +29,9 @@
     private static final String CHUNKED = "POST /render/a%20b?q=1&r HTTP/1.1\r\n" + FIELDS
             + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
 
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            + "Content-Length: 5\r\nX-Server-Load: x0=3\r\n\r\nhello";
+
     private static ByteBuffer bytes(String text) {
         return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
     }
@@ -54,6 +62,51 @@
         }
     }
 
+    /** A dispatcher holds thousands of connections, clients' and workers': what each keeps must be little. */
+    @Test
+    public void takesLittleMemoryAConnection() throws Exception {
+        int connections = 100;
+        // Two on each: what a parser learns from one message it uses for the next.
+        ByteBuffer[] messages = new ByteBuffer[4 * connections];
+        ClientDecoder[] decoders = new ClientDecoder[connections];
+        AnswerParser[] parsers = new AnswerParser[connections];
+        Arrays.setAll(messages, i -> bytes(i % 4 < 2 ? POST : ANSWER));
+        // The classes are there before it is counted.
+        new ClientDecoder(new Room(ROOM)).decode(bytes(POST));
+        new AnswerParser(new Unread()).parse(bytes(ANSWER));
+        Room room = new Room(ROOM);
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long thread = Thread.currentThread().getId();
+        long before = threads.getThreadAllocatedBytes(thread);
+        for (int i = 0; i < connections; i++) {
+            decoders[i] = new ClientDecoder(room);
+            decoders[i].decode(messages[4 * i]);
+            decoders[i].decode(messages[4 * i + 1]);
+            parsers[i] = new AnswerParser(new Unread());
+            parsers[i].parse(messages[4 * i + 2]);
+            parsers[i].parse(messages[4 * i + 3]);
+        }
+        long each = (threads.getThreadAllocatedBytes(thread) - before) / connections;
+        assertTrue(each > 0 && each < 20_000, each + " bytes for a client's and a worker's connection");
+    }
+
+    private static final class Unread implements AnswerParser.Reader {
+        @Override
+        public void head(int status, Map<String, String> fields) {
+            assertEquals(status, 200);
+        }
+
+        @Override
+        public void piece(ByteBuffer bytes) {
+            // What it says does not matter here.
+        }
+
+        @Override
+        public void end(boolean keepsOpen) {
+            assertTrue(keepsOpen);
+        }
+    }
+
     /** Guards against what one message left behind showing up in the next. */
     @Test
     public void decodesOneAfterTheOther() throws BadMessage {
