What lay unread while the process stood still is as old as that, and begins no attempt past its time

At fault: Exchanges.take counted a timeout from loop.now() as the message was read, and the selector may wait without an end, so that nothing tells how long the process stood. Ruled out: the order of timers and reads after the stop, as Policy.mayLaunch looks at the outer limit with every launch, and connections that come up meanwhile, as Flight.mayGo does (FlightTest; with that line taken out 2 of 4 rows fail).

Now the selector waits 50 ms at most, and a pass that comes over 20 ms late (whatever for) dates what is read in it and in the next five back to the pass before. A message that may have no time left is answered 503 and not taken. What a client sends ahead of its turn is dated when it is read, not when its turn comes (both rows of whatComesAheadIsAsOldAsItIs fail without it).

--- a/daemon/src/main/java/wheelroute/net/Exchanges.java
+++ b/daemon/src/main/java/wheelroute/net/Exchanges.java
@@ -142,7 +142,7 @@
     // ---- from the clients
 
     @Override
-    public Taken take(ClientMessage message, Answers answers) throws BadMessage {
+    public Taken take(ClientMessage message, double cameAt, Answers answers) throws BadMessage {
         Settings.Offering offering = offerings.get(message.offering());
         if (offering == null) {
             throw new BadMessage(HttpStatus.NOT_FOUND_404, "no such offering");
@@ -154,15 +154,15 @@
             // Workers know jobs by it: a second would be told the first one's end, or spoil its connection.
             throw new BadMessage(HttpStatus.CONFLICT_409, "a submission with this id is open");
         }
-        if (mustComeBack(message, offering)) {
+        double margin = Math.min(ANSWER_MARGIN, ANSWER_MARGIN_PART * message.timeout());
+        double limit = cameAt + Math.min(message.timeout(), longestOuterLimit) - margin;
+        if (limit <= loop.now() || mustComeBack(message, offering)) {
             turnedAway(message);
             answers.answer(ClientAnswer.bounced(adviceFor(0)));
             return () -> { };
         }
         // Tenants without a share need no name of their own: a client must not fill memory with names.
         Ids.Tenant tenant = tenants.getOrDefault(message.tenant(), new Ids.Tenant(""));
-        double margin = Math.min(ANSWER_MARGIN, ANSWER_MARGIN_PART * message.timeout());
-        double limit = loop.now() + Math.min(message.timeout(), longestOuterLimit) - margin;
         Submission submission = new Submission(new Ids.Submission(++lastSubmission), offering.id(), tenant,
                 limit, message.hint(), message.slots(), message.memory(), message.repeated(),
                 message.routeKey() == null ? null : new Ids.Key(message.routeKey()));
--- a/daemon/src/main/java/wheelroute/net/Loop.java
+++ b/daemon/src/main/java/wheelroute/net/Loop.java
@@ -13,6 +13,7 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -44,6 +45,18 @@
     private static final int LOOK_BUFFER = 2 * 1024;
     /** Connections waiting to be accepted: a burst of clients must not be refused by the kernel. */
     private static final int BACKLOG = 512;
+    /**
+     * The selector waits no longer at a time. What a peer sends while the process stands still is found when
+     * it goes on, and a wait without an end would not tell how long that took. With {@link #LATE} it is less
+     * than what is kept back of a client's wait for the ways there and back.
+     */
+    private static final double LONGEST_WAIT = 0.05;
+    /** Past what was asked for: a busy machine takes some milliseconds, and they do no harm. */
+    private static final double LATE = 0.02;
+    /** Until what lay unread has been read: a connection is accepted, registered and read within four. */
+    private static final int PASSES_TO_READ = 6;
+    /** The system tells of so many ready sockets at a time, and of the rest in the next pass. */
+    private static final int MOST_READY = 512;
     /** Any wait that is not 0 takes the selector through a round. */
     private static final double ROUND = 0.001;
     private static final double MILLIS = 1e3;
@@ -85,12 +98,18 @@
     private final Map<SocketAddress, Peer> listeners = new HashMap<>();
     private final ByteBuffer readBuffer = BufferUtil.allocateDirect(READ_BUFFER);
     private final ByteBuffer lookBuffer = BufferUtil.allocate(LOOK_BUFFER);
+    /** When the selector last returned; before it has, when the loop was made. */
+    private double passAt;
+    /** For each of the last passes that came late: since when sockets had not been looked at. */
+    private final double[] unseenSince = new double[PASSES_TO_READ];
     private long lastTimer;
     private Thread thread;
     private volatile Selector selector;
 
     public Loop(Clock clock, double connectLimit) {
         this.clock = clock;
+        passAt = clock.now();
+        Arrays.fill(unseenSince, Double.POSITIVE_INFINITY);
         manager = new Manager();
         manager.setConnectTimeout((long) (connectLimit * MILLIS));
     }
@@ -123,6 +142,24 @@
         return timer;
     }
 
+    /**
+     * The earliest time at which what is read now may have come: mostly this moment. After a standstill of
+     * the process, whatever for, all that lies unread may be as old as that.
+     */
+    public double cameAt() {
+        double now = now();
+        // Also in the middle of a pass: more may be read than the selector told of.
+        return Math.min(now - passAt > LATE ? passAt : now, notLookedSince());
+    }
+
+    private double notLookedSince() {
+        double since = Double.POSITIVE_INFINITY;
+        for (double one : unseenSince) {
+            since = Math.min(since, one);
+        }
+        return since;
+    }
+
     /** Empty, and shared by all connections: what a read leaves in it must be used before the next. */
     public ByteBuffer readBuffer() {
         BufferUtil.clear(readBuffer);
@@ -275,6 +312,16 @@
                 .map(Map.Entry::getValue).findFirst().orElse(null);
     }
 
+    /** Guards against taking for new what came while nobody looked: the pass before was long, or stood. */
+    private void passed(double wait, int ready) {
+        double at = now();
+        if (at - passAt - wait > LATE || ready < MOST_READY) {
+            System.arraycopy(unseenSince, 1, unseenSince, 0, PASSES_TO_READ - 1);
+            unseenSince[PASSES_TO_READ - 1] = at - passAt - wait > LATE ? passAt : Double.POSITIVE_INFINITY;
+        }
+        passAt = at;
+    }
+
     private double runDue() {
         for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
             run(task);
@@ -326,11 +373,12 @@
                 protected int nioSelect(Selector s, boolean now) throws IOException {
                     selector = s;
                     double left = runDue();
-                    if (now || left <= 0) {
-                        return s.selectNow();
-                    }
-                    return left == Double.POSITIVE_INFINITY ? s.select()
-                            : s.select((long) (left * MILLIS) + 1);
+                    // After a late pass each follows at once: what comes later is not as old as that.
+                    double wait = now || notLookedSince() < Double.POSITIVE_INFINITY ? 0
+                            : Math.min(left, LONGEST_WAIT);
+                    int ready = wait <= 0 ? s.selectNow() : s.select((long) (wait * MILLIS) + 1);
+                    passed(Math.max(0, wait), ready);
+                    return ready;
                 }
             };
         }
--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -87,7 +87,7 @@
 
     private void read(ByteBuffer in) {
         if (waiting) {
-            ahead.add(in);
+            ahead.add(in, loop.cameAt());
             return;
         }
         try {
@@ -105,10 +105,11 @@
             hasSpoken = true;
             waiting = true;
             lastMessage = !message.keepsOpen();
+            double cameAt = in == ahead.kept() ? ahead.cameAt() : loop.cameAt();
             if (in.hasRemaining() && in != ahead.kept()) {
-                ahead.add(in);
+                ahead.add(in, cameAt);
             }
-            handle(message);
+            handle(message, cameAt);
         } catch (BadMessage e) {
             refuse(e);
         }
@@ -124,7 +125,7 @@
         answer(ClientAnswer.of(e.status(), e.getMessage()));
     }
 
-    private void handle(ClientMessage message) {
+    private void handle(ClientMessage message, double cameAt) {
         clients.is(this, Places.Stage.HELD);
         if (message.method().equals("GET")) {
             answer(switch (message.path()) {
@@ -140,11 +141,11 @@
             lastMessage = true;
             answer(ClientAnswer.bounced(0));
         } else {
-            submit(message);
+            submit(message, cameAt);
         }
     }
 
-    private void submit(ClientMessage message) {
+    private void submit(ClientMessage message, double cameAt) {
         unanswered = true;
         try {
             if (!message.method().equals("POST")) {
@@ -158,7 +159,7 @@
                 ended();
                 return;
             }
-            Submitters.Taken now = clients.take(message, this);
+            Submitters.Taken now = clients.take(message, cameAt, this);
             hasSubmitted = true;
             if (unanswered) {
                 // Else it was answered as it was taken, and there is nobody to tell that the client left.
--- a/daemon/src/main/java/wheelroute/net/clients/Clients.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Clients.java
@@ -123,8 +123,9 @@
         counters.count(Counters.Kind.NOT_TAKEN);
     }
 
-    Submitters.Taken take(ClientMessage message, Submitters.Answers answers) throws BadMessage {
-        return submitters.take(message, answers);
+    Submitters.Taken take(ClientMessage message, double cameAt, Submitters.Answers answers)
+            throws BadMessage {
+        return submitters.take(message, cameAt, answers);
     }
 
     boolean closesConnections() {
--- a/daemon/src/main/java/wheelroute/net/clients/Submitters.java
+++ b/daemon/src/main/java/wheelroute/net/clients/Submitters.java
@@ -16,8 +16,12 @@
         boolean hasLeft();
     }
 
-    /** What is not taken is told why: for want of such an offering, say. */
-    Taken take(ClientMessage message, Answers answers) throws BadMessage;
+    /**
+     * What is not taken is told why: for want of such an offering, say.
+     *
+     * @param cameAt the earliest time at which its last byte may have come, from which its timeout counts
+     */
+    Taken take(ClientMessage message, double cameAt, Answers answers) throws BadMessage;
 
     /** A whole message that is told to come back, for want of a place, and not taken. */
     void turnedAway(ClientMessage message);
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -45,8 +45,13 @@
         doubtful = !isRested();
         kept = true;
         next.boarded(this);
+        double limit = next.outerLimit - loop.now();
+        if (limit <= 0) {
+            // The process may have stood still since this was decided.
+            next.giveUp(End.TIMED_OUT);
+            return;
+        }
         decoder.expect(next.message.id());
-        double limit = Math.max(0, next.outerLimit - loop.now());
         getEndPoint().write(Callback.from(next::written, cause -> broke(End.BROKE_UNSENT)),
                 next.message.encode(station.host(), limit));
     }
--- a/daemon/src/test/java/wheelroute/SignalTest.java
+++ b/daemon/src/test/java/wheelroute/SignalTest.java
@@ -30,17 +30,9 @@
     }
 
     private static Process start(Path directory, int port, String extra) throws IOException {
-        Path file = directory.resolve("config.json");
-        Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"admin\":"
-                + "\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"settings\":{\"request_classes\":["
-                + "{\"name\":\"job\",\"effect\":\"free\"" + extra + "}]}}");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-cp", System.getProperty("surefire.test.class.path",
-                System.getProperty("java.class.path")), Main.class.getName(), "serve");
-        builder.environment().put("LB_CONFIG", file.toString());
-        builder.environment().put("TMPDIR", directory.toString());
-        builder.redirectErrorStream(true);
-        return builder.start();
+        return ServedProcess.builder(directory, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port
+                + "\",\"admin\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"settings\":"
+                + "{\"request_classes\":[{\"name\":\"job\",\"effect\":\"free\"" + extra + "}]}}", 0).start();
     }
 
     /** Where the processes of that dispatcher meet. */
--- a/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
+++ b/daemon/src/test/java/wheelroute/net/NarrowMomentsTest.java
@@ -11,9 +11,12 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.DataProvider;
@@ -27,6 +30,8 @@
 
 /** Two events that cross, each put into the order that does harm: docs/narrow-moments.md tells of each. */
 public class NarrowMomentsTest extends ServiceHarness {
+    /** At the clock, from the reading of a message until all of its answer is out, are fewer than these. */
+    private static final int MOST_LOOKS = 80;
     /** Longer than any connection's rest, shorter than any outer limit. */
     private static final double WHILE = 0.2;
 
@@ -410,6 +415,127 @@
         }
     }
 
+    // ---- a process that stood still
+
+    /** Stops the loop's thread in its tracks; it goes on when the latch is down. */
+    private CountDownLatch standStill() throws InterruptedException {
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch goesOn = new CountDownLatch(1);
+        loop.post(() -> {
+            stands.countDown();
+            try {
+                goesOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stands.await();
+        return goesOn;
+    }
+
+    @DataProvider
+    public Object[][] unread() {
+        // How many connections, and whether they were there before.
+        return new Object[][] {{1, false}, {1, true}, {300, false}, {600, true}};
+    }
+
+    /** What lay unread in a standstill may be as old as that: who has no time left is told at once. */
+    @Test(dataProvider = "unread", timeOut = PATIENCE)
+    public void whatLayUnreadMayBeAsOldAsTheStandstill(int count, boolean kept) throws Exception {
+        clock.stop();
+        longest = 60;
+        workers.answers.addAll(List.of(DONE, DONE));
+        serve(Effect.UNREPEATABLE, 2600, known(workers.listen()));
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < count && kept; i++) {
+            clients.add(connect());
+            ask(clients.get(i), HEALTH);
+        }
+        CountDownLatch goesOn = standStill();
+        for (int i = 0; i < count; i++) {
+            if (!kept) {
+                clients.add(connect());
+            }
+            send(clients.get(i), job(100 + i).replace("10.0", "3.8"));
+        }
+        Socket patient = connect();
+        send(patient, job(99));
+        clock.step(4);
+        goesOn.countDown();
+        for (Socket client : clients) {
+            assertEquals(status(read(client.getInputStream())), 503);
+        }
+        assertEquals(status(read(patient.getInputStream())), 200);
+        String launched = workers.heard.take();
+        assertTrue(launched.contains("X-Request-ID: 99\r\n"), launched);
+        assertTrue(launched.contains("X-Timeout: 5.9"), launched);
+        // What comes after it has all of its time.
+        assertEquals(status(ask(clients.get(0), job(98).replace("10.0", "3.8"))), 200);
+        launched = workers.heard.take();
+        assertTrue(launched.contains("X-Timeout: 3.7"), launched);
+    }
+
+    /** The process stands still between any two looks at the clock: nothing goes out past its time. */
+    @Test(timeOut = 2 * PATIENCE)
+    public void nothingGoesOutPastItsTimeWhereverItStandsStill() throws Exception {
+        clock.stop();
+        workers.answers.addAll(Collections.nCopies(2 * MOST_LOOKS, DONE));
+        InetSocketAddress[] at = new InetSocketAddress[MOST_LOOKS];
+        for (int i = 0; i < MOST_LOOKS; i++) {
+            // One for each, as who seems to have been silent is avoided for a while.
+            at[i] = workers.listen();
+        }
+        serve(Effect.UNREPEATABLE, 1024, known(at));
+        int launched = 0;
+        for (int looks = 1; looks <= MOST_LOOKS; looks++) {
+            Socket client = connect();
+            ask(client, HEALTH);
+            // Connections to workers rest, so that they are used again.
+            loop.step(WHILE);
+            workers.heard.clear();
+            clock.jumpAfter(looks, 4);
+            // The harness cuts outer limits to 2 s.
+            int status = status(ask(client, job(10 + looks)));
+            assertTrue(List.of(200, 502, 503).contains(status), looks + " looks: " + status);
+            loop.settle();
+            for (String message = workers.heard.poll(); message != null; message = workers.heard.poll()) {
+                launched++;
+                assertTrue(message.matches("(?s).*X-Timeout: [0-9.]*[1-9].*"), looks + " looks: " + message);
+            }
+        }
+        assertTrue(launched > 0, "nothing was launched");
+    }
+
+    @DataProvider
+    public Object[][] ahead() {
+        return new Object[][] {{"1.0", 503}, {"5.0", 200}};
+    }
+
+    /** What a client sends ahead of its turn waits from when it came, and not from when its turn comes. */
+    @Test(dataProvider = "ahead", timeOut = PATIENCE)
+    public void whatComesAheadIsAsOldAsItIs(String timeout, int status) throws Exception {
+        clock.stop();
+        longest = 60;
+        // The one that is silent for so long is not chosen again.
+        serve(Effect.UNREPEATABLE, 1024, known(workers.listen(), workers.listen()));
+        Socket client = connect();
+        send(client, job(88));
+        workers.next();
+        long before = loop.bytesRead.get();
+        String next = job(99).replace("10.0", timeout);
+        send(client, next);
+        while (loop.bytesRead.get() < before + next.length()) {
+            loop.settle();
+        }
+        loop.step(2);
+        workers.answers.addAll(List.of("", DONE));
+        workers.say(DONE.replace("ID", "88"));
+        assertEquals(status(read(client.getInputStream())), 200);
+        assertEquals(status(read(client.getInputStream())), status);
+        String launched = workers.heard.poll();
+        assertTrue(status == 503 ? launched == null : launched.contains("X-Timeout: 2.9"), launched);
+    }
+
     // ---- the end
 
     /** A message that comes in the last moment on a connection that said nothing is answered all the same. */
--- a/daemon/src/test/java/wheelroute/net/StepClock.java
+++ b/daemon/src/test/java/wheelroute/net/StepClock.java
@@ -4,9 +4,12 @@
 final class StepClock extends Clock {
     private volatile double offset;
     private volatile double stoppedAt = Double.NaN;
+    private int looksLeft;
+    private double jump;
 
     @Override
     public double now() {
+        passLook();
         double at = stoppedAt;
         return Double.isNaN(at) ? super.now() + offset : at;
     }
@@ -20,6 +23,18 @@
         stoppedAt += seconds;
     }
 
+    /** So much time passes all at once, as in a standstill, after so many more looks at the clock. */
+    synchronized void jumpAfter(int looks, double seconds) {
+        looksLeft = looks;
+        jump = seconds;
+    }
+
+    private synchronized void passLook() {
+        if (looksLeft > 0 && --looksLeft == 0) {
+            step(jump);
+        }
+    }
+
     void goOn() {
         if (!Double.isNaN(stoppedAt)) {
             offset = stoppedAt - super.now();
--- /dev/null
+++ b/daemon/src/test/java/wheelroute/net/workers/FlightTest.java
@@ -0,0 +1,55 @@
+package wheelroute.net.workers;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.net.Counters;
+import wheelroute.net.End;
+
+public class FlightTest {
+    private static final double LIMIT = 100;
+
+    @DataProvider
+    public Object[][] moments() {
+        // When its connection is up, whether its client still waits, whether it goes, and how it ends.
+        return new Object[][] {
+            {LIMIT - 0.001, true, true, List.of()},
+            {LIMIT, true, false, List.of(End.ENDED_UNSENT)},
+            {LIMIT + 4, true, false, List.of(End.ENDED_UNSENT)},
+            {LIMIT - 1, false, false, List.of()},
+        };
+    }
+
+    /** Its connection may come up in a standstill of the process, and be heard of before its timer. */
+    @Test(dataProvider = "moments")
+    public void nothingGoesOutPastItsLimit(double now, boolean wanted, boolean goes, List<End> expected) {
+        List<End> ends = new ArrayList<>();
+        Launches launches = new Launches() {
+            @Override
+            public boolean isWanted() {
+                return wanted;
+            }
+
+            @Override
+            public void started() {
+                throw new AssertionError("it has not gone");
+            }
+
+            @Override
+            public void progressed(double share) {
+                throw new AssertionError("it has not gone");
+            }
+
+            @Override
+            public void ended(End end, byte[] result, double freeSlots) {
+                ends.add(end);
+            }
+        };
+        LaunchMessage message = new LaunchMessage("POST", "/job/x", "77", null, null, new byte[0], true);
+        assertEquals(new Flight(message, LIMIT, launches, new Counters(List.of())).mayGo(now), goes);
+        assertEquals(ends, expected);
+    }
+}
