Tests: no attempt begins for a client that left, on every way of waiting, by every way of leaving

LeaversTest makes the moment happen on real sockets: its end lies unread, as nothing of it is heard until something looks, while its submission waits for a place or a loop that is busy, in a key's line (plain, in a drain, in a hand-over of two services that share the port), for a connection to a worker (plain, in a drain), for a second attempt after a break, or for a copy of what is out at a worker listed as gone. It leaves by FIN, RST, close over unread bytes, half-closed, and half-closed or reset behind 20 kB ahead; one row of each way stays and must get its attempt, so that none is empty.

--- a/daemon/src/test/java/wheelroute/net/HeldLoop.java
+++ b/daemon/src/test/java/wheelroute/net/HeldLoop.java
@@ -48,8 +48,13 @@
 
     /** Nothing is held from here on; what waited for a connection gets it. */
     void goOn() {
-        held.clear();
         unread.clear();
+        goOnConnecting();
+    }
+
+    /** The same for connections only. */
+    void goOnConnecting() {
+        held.clear();
         post(() -> {
             for (Runnable next = connects.poll(); next != null; next = connects.poll()) {
                 next.run();
--- a/daemon/src/test/java/wheelroute/net/ServiceHarness.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceHarness.java
@@ -87,6 +87,7 @@
     protected double longest = 2;
     protected boolean hasDoor;
     protected boolean inTurn;
+    protected boolean mayCopy;
     protected boolean pushed;
     protected StepClock clock = new StepClock();
     protected HeldLoop loop;
@@ -232,7 +233,7 @@
         given.dispatchers = dispatchers;
         given.effect = effect;
         given.mustAsk = true;
-        given.mayCopy = false;
+        given.mayCopy = mayCopy;
         given.inTurn = inTurn;
         Settings settings = given.settings();
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -362,6 +363,7 @@
         pushed = false;
         longest = 2;
         hasDoor = false;
+        mayCopy = false;
         meeting = null;
         assertEquals(faults.isEmpty(), !wanted, "failed inside: " + faults);
         if (figures != null) {
