Cold workers: the bound on all dispatchers proved, turns by groups, capacity as carried

Need: a cold worker bears the sum of what all dispatchers send it, and the turns by which thirty of them shared it left most of its budget unused.

At fault: Policy.mayTakeCold, which gave half of the budget to one dispatcher of all, and reckoned with slots() alone; and sentCold, which forgot what was sent after the start and before it was told.

Change: limits.ColdBudget carries the budget and the proof of its bound. Turns go to groups of dispatchers, as large as leave each a part that a request of mean work fits into; the group moves by one a window, so that G+1 parts and not 2G are out in any window. Capacity is at least what the model's warm workers carry for all dispatchers. Launches count from the worker's start on.

Tried once each: a part of B/G in place of B/(G+1) fails six rows; forgetting what went before the start was told fails one; capacity by slots alone fails aColdWorkerIsTakenToCarryWhatOthersOfItsModelDo.

--- a/daemon/src/main/java/wheelroute/decision/Parts.java
+++ b/daemon/src/main/java/wheelroute/decision/Parts.java
@@ -1,11 +1,15 @@
 package wheelroute.decision;
 
+import wheelroute.limits.ColdBudget;
+
 /** What this dispatcher may use of what all dispatchers share, at this moment. */
-public interface Parts {
+public interface Parts extends ColdBudget.Held {
     /** Of that dispatcher's part, from 0 to 1: of its own, or of one that is not there. */
+    @Override
     double of(int number);
 
     /** Of all, from 0 to 1. */
+    @Override
     double whole();
 
     /** An even division by the settings alone: its own part, and nobody else's. */
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.zip.CRC32;
+import wheelroute.limits.ColdBudget;
 
 /**
  * All decisions of one dispatcher: where each submission goes, and what is done when that goes wrong.
@@ -71,10 +72,6 @@
     private static final double LONGEST_PAUSE = 4;
     /** A worker that turned a launch away is left alone this long: about a job's time. */
     private static final double FULL_PAUSE = 0.3;
-    /** Of our share of a cold worker's budget this much is used: hints are rough and its size is a guess. */
-    private static final double COLD_USE = 0.65;
-    /** So many dispatchers have a turn at a cold worker within one window, wherever it begins. */
-    private static final double TURNS_A_WINDOW = 2;
     private static final double MILLIS = 1000;
     /** Taken off the window in which repeats are known, for the way to the worker. */
     private static final double TRANSIT = 0.5;
@@ -113,12 +110,16 @@
     /** Launches after an error elsewhere: 1 for those that erred too. */
     private final Samples secondTries = new Samples(KEPT);
     private final Samples arrivals = new Samples(KEPT_ARRIVALS);
+    /** The work of submissions over all the slots that each takes: what a worker's capacity is counted in. */
+    private final Samples loads = new Samples(KEPT_ARRIVALS);
+    private final ColdBudget.Terms coldTerms;
     private final CRC32 crc = new CRC32();
     private long draws;
     private double now;
     /** One for all models where starts are not told: waits guessed from answers would show their speeds. */
     private final Samples roughWaits = new Samples(KEPT_ARRIVALS);
     private double copiesLeft;
+    private double firstTakenAt = Double.POSITIVE_INFINITY;
     /** Worked out once for each choice. */
     private double meanWork = STANDARD;
     private double meanValue = 1;
@@ -137,6 +138,8 @@
         this.settings = settings;
         this.dispatcher = dispatcher;
         parts = Parts.even(settings);
+        coldTerms = new ColdBudget.Terms(Math.max(1, settings.dispatchers()), settings.position(),
+                settings.tipMultiple(), settings.tipWindow());
         for (Settings.Offering offering : settings.offerings()) {
             rows.put(offering.id(), new Row(offering));
         }
@@ -260,9 +263,11 @@
             return null;
         }
         Handle handle = new Handle(submission, row);
+        firstTakenAt = Math.min(firstTakenAt, now);
         if (!submission.repeated()) {
             // Guards against a retry storm: what is bounced asks again at once, and is no load and no use.
             arrivals.add(now, handle.work, row.value);
+            loads.add(now, handle.work * handle.slots, 0);
             if (settings.quotas().getOrDefault(submission.tenant(), 0.0) > 0) {
                 uses.computeIfAbsent(submission.tenant(), t -> new Samples(KEPT_ARRIVALS)).add(now, 1, 0);
             }
@@ -502,7 +507,7 @@
                 holding.add(w);
                 stayAwake();
             }
-            w.sentCold(work * slots);
+            w.cold.sent(now, work * slots);
             dispatcher.launch(submission.id(), w.id, 0);
         }
 
@@ -652,7 +657,7 @@
         usualSpeed = slotsInAll > 0 ? capacity / slotsInAll : STANDARD;
         double perSlot = launchesOut / Math.max(1, slotsInAll);
         // All dispatchers' traffic, taken to be like ours: later arrivals at a queue are not ours alone.
-        int senders = processes * Math.max(1, settings.dispatchers());
+        int senders = senders();
         double load = Math.min(MOST_LOAD, senders * arrivals.rateOfFirst(now) / capacity);
         double kappa = senders * arrivals.rate(now) * meanValue / (2 * (1 - load)) / capacity;
         double least = Double.POSITIVE_INFINITY;
@@ -672,6 +677,10 @@
         return least == Double.POSITIVE_INFINITY ? null : drawAmong(least * (1 + TIE_BAND));
     }
 
+    private int senders() {
+        return processes * Math.max(1, settings.dispatchers());
+    }
+
     private Worker drawAmong(double most) {
         int tied = 0;
         for (Worker w : fleet) {
@@ -765,12 +774,10 @@
         boolean unlisted;
         final List<Launch> out = new ArrayList<>();
         final OfWorker seen = new OfWorker(KEPT);
-        final ArrayDeque<double[]> sentCold = new ArrayDeque<>();
+        final ColdBudget cold = new ColdBudget(coldTerms);
         double heardAt = Double.NEGATIVE_INFINITY;
         double fullUntil = Double.NEGATIVE_INFINITY;
         double answeredAt = Double.NEGATIVE_INFINITY;
-        /** The dispatcher whose turn is first: not the same one at all that start in one moment. */
-        long firstTurn;
         boolean silent;
         boolean probation;
         int goodTrials;
@@ -799,8 +806,9 @@
             model = models.computeIfAbsent(entry.model(), m -> new OfModel(new Samples(KEPT_ARRIVALS),
                     settings.tellsStart() ? new Samples(KEPT_ARRIVALS) : roughWaits,
                     settings.tellsStart() ? MODEL_PRIOR : WAIT_PRIOR));
-            firstTurn = (long) (draw(Math.round(entry.startedAt() * MILLIS), entry.cell().value())
-                    * settings.dispatchers());
+            // Not the same for all that start in one moment.
+            cold.started(entry.startedAt(), draw(Math.round(entry.startedAt() * MILLIS),
+                    entry.cell().value()));
             named = true;
             if (entry.readiness() == Listing.Readiness.GONE) {
                 unlist();
@@ -872,6 +880,10 @@
                     heard();
                     answeredAt = now;
                     overtook(launch);
+                    if (warmth(now) >= 1) {
+                        model.answered(now, launch.handle.work * launch.handle.slots, (int) workers.values()
+                                .stream().filter(w -> w.model == model && w.warmth(now) >= 1).count());
+                    }
                     double from = launch.hasStarted() ? launch.startedAt : launch.sentAt;
                     if (!launch.hasStarted()) {
                         double unexplained = launch.unexplained(now) - launch.handle.work / speed();
@@ -978,30 +990,10 @@
             if (warm >= 1) {
                 return true;
             }
-            // Guards against shares that no job fits into, by which many dispatchers shut a fleet out.
-            boolean byTurns = settings.position() >= 0 && settings.dispatchers() > settings.tipMultiple();
-            double part = byTurns ? parts.of(turn()) / TURNS_A_WINDOW : parts.whole();
-            double sent = work;
-            for (double[] entry : sentCold) {
-                sent += entry[0] > now - settings.tipWindow() ? entry[1] : 0;
-            }
-            double capacity = warm * model.speed * slots() * settings.tipWindow() / processes;
-            return sent <= COLD_USE * settings.tipMultiple() * capacity * part;
-        }
-
-        /** Dispatchers go by turns of a window each, reckoned from the start that all read in the list. */
-        private int turn() {
-            long turn = (long) (Math.max(0, now - listing.startedAt()) / settings.tipWindow());
-            return (int) ((firstTurn + turn) % settings.dispatchers());
-        }
-
-        void sentCold(double work) {
-            while (!sentCold.isEmpty() && sentCold.peekFirst()[0] <= now - settings.tipWindow()) {
-                sentCold.pollFirst();
-            }
-            if (warmth(now) < 1) {
-                sentCold.addLast(new double[] {now, work});
-            }
+            // It has the slots seen busy, and carries what all of its model do: for us, and as much for others.
+            double able = Math.max(model.speed * slots(), senders() * model.carries(now, firstTakenAt));
+            double capacity = warm * able * settings.tipWindow() / processes;
+            return cold.holds(now, work, capacity, loads.meanOfFirst(STANDARD), parts);
         }
 
         /** Works out the waits and the backlog once, for the costs and the launch that follow. */
--- a/daemon/src/main/java/wheelroute/decision/Samples.java
+++ b/daemon/src/main/java/wheelroute/decision/Samples.java
@@ -54,6 +54,11 @@
         return size;
     }
 
+    /** From when on it has all there were: from its oldest once it has begun to forget, else since always. */
+    double oldest(double always) {
+        return size < kept.length / 3 ? always : time(next);
+    }
+
     double time(int i) {
         return kept[3 * i];
     }
--- a/daemon/src/main/java/wheelroute/limits/package-info.java
+++ b/daemon/src/main/java/wheelroute/limits/package-info.java
@@ -1,2 +1,2 @@
-/** Who has a place when there are fewer places than those who want one. No I/O, no clock. */
+/** Who has a place, and what part, where there is less than all want. No I/O, no clock. */
 package wheelroute.limits;
--- a/daemon/src/test/java/wheelroute/RulesTest.java
+++ b/daemon/src/test/java/wheelroute/RulesTest.java
@@ -219,6 +219,41 @@
         assertTrue(most == 0 || sent > 0, "and is not shut out");
     }
 
+    @DataProvider
+    public Object[][] carried() {
+        return new Object[][] {
+            // answers of 0.3 s each one after the other by two warm workers; how often one slot's budget is
+            // passed for sure, and at most, as ten dispatchers with such traffic keep five slots of each busy
+            {2, 0, 1}, {40, 2, 5},
+        };
+    }
+
+    /** Guards against budgets by the one slot that a dispatcher among many has seen busy at a time. */
+    @Test(dataProvider = "carried")
+    public void aColdWorkerIsTakenToCarryWhatOthersOfItsModelDo(int answers, int least, int most) {
+        World.Given given = new World.Given();
+        given.dispatchers = 10;
+        World w = new World(given).list(2);
+        for (int i = 0; i < answers; i++) {
+            w.serve(0.3, 0.3);
+        }
+        w.change(2, Double.NaN, Readiness.GONE).change(1, w.now - 0.1, Readiness.ACTIVE);
+        double sent = 0;
+        for (int i = 0; i < 100; i++) {
+            w.did.clear();
+            Policy.Handle handle = w.take(0.02);
+            if (w.lastWorker() == 1) {
+                sent += 0.02;
+                // Its client leaves, so that neither a queue nor a rest of the worker's stands in the way.
+                handle.gone();
+                w.end(handle, 0, Outcome.CANCELLED);
+            }
+            w.pass(0.02);
+        }
+        double ofOneSlot = 0.65 * 12 * 0.26 / 10;
+        assertTrue(sent >= least * ofOneSlot && sent <= most * ofOneSlot * 1.1, sent + " by " + ofOneSlot);
+    }
+
     /** Guards against shares of a cold worker's budget that no job fits into, and against their sum. */
     @Test
     public void manyDispatchersTakeTurnsAtAColdWorker() {
