--- a/kit/src/main/java/wheelroute/kit/scenario/Library.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/Library.java
@@ -13,7 +13,7 @@
     public static final List<String> NAMES = List.of("closing-prices", "calm", "failures-overlap",
             "drain-in-burst", "rolling-deploy", "vanish", "overload", "late-list", "dispatcher-restart",
             "hundred", "many-kill", "many-pause", "many-cut", "replace", "figures", "crowd", "drawn",
-            "peers-crash", "peers-split", "peers-slow", "peers-rejoin");
+            "peers-crash", "peers-split", "peers-slow", "peers-rejoin", "cold-thirty");
     private static final String FOLDER = "/wheelroute/kit/scenarios/";
 
     private Library() {
--- a/kit/src/main/java/wheelroute/kit/scenario/ScenarioReader.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/ScenarioReader.java
@@ -153,7 +153,8 @@
                 f.number("speed", 1, 0.001, 1000), f.text("zone", "a"),
                 f.whole("queue", 100, 0, 1_000_000), f.number("memory", MOST, 0, MOST),
                 f.number("cold_share", 1, 0.01, 1), f.number("cold_for", 0, 0, MOST_TIME),
-                f.number("tip_multiple", 4, 0.1, 1000), f.number("tip_window", 3, 0.1, 60));
+                f.number("tip_multiple", 4, 0.1, 1000), f.number("tip_window", 3, 0.1, 60),
+                f.number("tip_request", 0, 0, MOST_TIME));
         f.done();
         return group;
     }
--- a/kit/src/main/java/wheelroute/kit/scenario/ScenarioWriter.java
+++ b/kit/src/main/java/wheelroute/kit/scenario/ScenarioWriter.java
@@ -71,7 +71,7 @@
                 .number("slots", g.slots()).number("speed", g.speed()).text("zone", g.zone())
                 .number("queue", g.queue()).number("memory", g.memory()).number("cold_share", g.coldShare())
                 .number("cold_for", g.coldFor()).number("tip_multiple", g.tipMultiple())
-                .number("tip_window", g.tipWindow());
+                .number("tip_window", g.tipWindow()).number("tip_request", g.tipRequest());
     }
 
     private void write(Scenario.Offering o) {
--- a/kit/src/main/java/wheelroute/kit/world/WorkerModel.java
+++ b/kit/src/main/java/wheelroute/kit/world/WorkerModel.java
@@ -262,7 +262,11 @@
             cameCold.pollFirst();
         }
         double sum = cameCold.stream().mapToDouble(entry -> entry[1]).sum();
-        return sum > group.tipMultiple() * warm * group.speed() * group.slots() * group.tipWindow();
+        double most = group.tipMultiple() * warm * group.speed() * group.slots() * group.tipWindow();
+        if (group.tipRequest() > 0) {
+            most += (2 * Math.sqrt(most / group.tipRequest()) + 2) * group.tipRequest();
+        }
+        return sum > most;
     }
 
     // ---- reports
--- a/kit/src/test/java/wheelroute/kit/virtual/VirtualRunTest.java
+++ b/kit/src/test/java/wheelroute/kit/virtual/VirtualRunTest.java
@@ -26,6 +26,7 @@
 public class VirtualRunTest {
     private static final double QUICK = 30;
     private static final int SCHEDULES = 60;
+    private static final int THIRTIES = 50;
 
     private static Report play(Scenario scenario, long seed, double seconds, String brain) throws Exception {
         return VirtualRun.play(scenario, seed, seconds, Map.of(), brain, w -> Brains.maker(brain, w),
@@ -54,6 +55,16 @@
         assertTrue(report.holds(), TableWriter.text(report));
     }
 
+    /** What thirty dispatchers send a cold worker, each by what it sees alone, does not push it over. */
+    @Test
+    public void thirtyDispatchersPushNoColdWorkerOver() throws Exception {
+        Scenario scenario = Library.find("cold-thirty");
+        for (int seed = 1; seed <= THIRTIES; seed++) {
+            Report report = play(scenario, seed, QUICK / 2, Brains.MODULE);
+            assertTrue(report.keepsRules(), seed + ": " + TableWriter.text(report));
+        }
+    }
+
     /** Textbook dispatching keeps the first three rules too: what it lacks is service. */
     @Test
     public void baselinesKeepTheRulesAndServeLess() throws Exception {
