What a model carries is counted at the list's word, not at every answer

Change: the list's word says which workers carry (ready and warm then), and only their answers are counted. One that warms up since is not counted before the next word, which leaves samples out and overstates nothing.

--- a/daemon/src/main/java/wheelroute/decision/OfModel.java
+++ b/daemon/src/main/java/wheelroute/decision/OfModel.java
@@ -15,6 +15,8 @@
     private final Samples carried;
     private double carriesAt = Double.NaN;
     private double carries;
+    /** Workers that were ready and warm at the list's last word: what these answer is what is counted. */
+    int carriers;
     int slots;
     double speed = STANDARD;
     /** The mean of what ours do not explain, over the usual memory and over a short one. */
@@ -50,9 +52,9 @@
         speed = runs.size() > 0 ? runs.sumOfFirst() / runs.sumOfSecond() : speed;
     }
 
-    /** Work answered by one of so many that were warm then. */
-    void answered(double now, double work, int warm) {
-        carried.add(now, work / warm, 0);
+    /** Work answered by one of the carriers. */
+    void answered(double now, double work) {
+        carried.add(now, work / carriers, 0);
     }
 
     /** The work that one of its warm workers has done for us in a second, as a mean since then at most. */
--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -194,6 +194,7 @@
             }
         }
         fleet.clear();
+        models.values().forEach(model -> model.carriers = 0);
         for (Worker w : workers.values()) {
             if (whole && !w.named) {
                 w.unlist();
@@ -202,6 +203,8 @@
             if (w.ready) {
                 fleet.add(w);
             }
+            w.carrier = w.ready && w.warmth(now) >= 1;
+            w.model.carriers += w.carrier ? 1 : 0;
         }
         homes.fleet(fleet);
         lost.forEach(w -> rescueAll(w, !w.unlisted, launch -> true));
@@ -778,6 +781,8 @@
         double heardAt = Double.NEGATIVE_INFINITY;
         double fullUntil = Double.NEGATIVE_INFINITY;
         double answeredAt = Double.NEGATIVE_INFINITY;
+        /** It was ready and warm at the list's last word, which spares counting at every choice. */
+        boolean carrier;
         boolean silent;
         boolean probation;
         int goodTrials;
@@ -880,9 +885,8 @@
                     heard();
                     answeredAt = now;
                     overtook(launch);
-                    if (warmth(now) >= 1) {
-                        model.answered(now, launch.handle.work * launch.handle.slots, (int) workers.values()
-                                .stream().filter(w -> w.model == model && w.warmth(now) >= 1).count());
+                    if (carrier) {
+                        model.answered(now, launch.handle.work * launch.handle.slots);
                     }
                     double from = launch.hasStarted() ? launch.startedAt : launch.sentAt;
                     if (!launch.hasStarted()) {
