--- a/daemon/src/main/java/wheelroute/net/list/ListWatch.java
+++ b/daemon/src/main/java/wheelroute/net/list/ListWatch.java
@@ -43,8 +43,10 @@
     private static final double WHOLE_ANSWER = 3;
     /** Half of what may pass between two calls of one watch. */
     private static final double EARLY_PAUSE = 0.1;
-    /** The largest list that is read: some thousands of workers, and yet a bound. */
-    private static final int MOST_LIST = 1 << 20;
+    /** A list that is read lies in memory as it comes, as its entries, and as what they replace. */
+    private static final double LIST_PART = 1 / 12.0;
+    /** Read in any case: some thousands of workers. */
+    private static final int LEAST_MOST = 1 << 20;
     private static final double MILLIS = 1e3;
     /** The version of who knows nothing yet. */
     public static final long NOTHING = -1;
@@ -66,6 +68,9 @@
     private double hurryUntil = Double.NEGATIVE_INFINITY;
     private boolean stopped;
     private final Manner manner;
+    /** In bytes; the heap follows what the process may take. */
+    private final long mostList =
+            Math.max(LEAST_MOST, (long) (LIST_PART * Runtime.getRuntime().maxMemory()));
     private final Backoff backoff;
     private final SplittableRandom random;
     /** The last call failed, and no call since has been answered: what is known there is wanted at once. */
@@ -283,8 +288,9 @@
 
         @Override
         public void piece(ByteBuffer bytes) throws IOException {
-            if (body.size() + bytes.remaining() > MOST_LIST) {
-                throw new IOException("the list is over " + MOST_LIST);
+            if (body.size() + bytes.remaining() > mostList) {
+                throw new IOException("the list is over " + mostList
+                        + " bytes, which are all that limits.memory_mb leaves for it");
             }
             byte[] piece = new byte[bytes.remaining()];
             bytes.get(piece);
