A scale run: hollow dispatchers beside real ones, lines with errors, a verdict against a size

Need: nothing told what a dispatcher costs at sizes that were never played, and the operators ask for 30,000 workers.

Change: bin/wheelroute scale starts real dispatchers by deploy/run.sh and up to 300 hollow ones, which are the daemon's own Service in one process, beside stand-ins for workers and for a list service with a capacity, and measures processor time, memory, bytes, calls and times by workers, changes, launches, launches held, tenants, dispatchers and changes in one answer, each at four sizes or more; lines by least squares (commons-math3), kept as JSON and drawn on a page. bin/wheelroute capacity works a page's tables out from them and ends with 3 where it says something else.

Peers, the door and replacements are not measured.

--- a/daemon/src/main/java/wheelroute/limits/ColdBudget.java
+++ b/daemon/src/main/java/wheelroute/limits/ColdBudget.java
@@ -30,9 +30,9 @@
  * <p><b>What is left to chance.</b> B and G come from each dispatcher's own estimates. All are let in at the
  * same end of the group and who is first is drawn from the start, so over that draw each has its B/(G+1) in
  * G+1 windows of D, a mean of B/D whatever its G, and the sum's mean is the mean of their B. Groups of one
- * turn lie inside each other: if their G differ by a factor r at most, no draw gives more than B (1 + ln r). Hints
- * miss the true work to both sides, and what arrives is later than what was sent by the network's jitter. The
- * 2 root N + 2 are for these, and no part of them is given out.
+ * turn lie inside each other: if their G differ by a factor r at most, no draw gives more than B (1 + ln r).
+ * Hints miss the true work to both sides, and what arrives is later than what was sent by the network's
+ * jitter. The 2 root N + 2 are for these, and no part of them is given out.
  */
 public final class ColdBudget {
     /** Under two thirds, at which a fall counts as ours; hints are rough and the worker's size is a guess. */
--- a/daemon/src/main/java/wheelroute/net/MessageReader.java
+++ b/daemon/src/main/java/wheelroute/net/MessageReader.java
@@ -15,8 +15,9 @@
     private boolean complete;
 
     /**
-     * A parser for one connection. It does not remember fields to know them again: what for that it would make
-     * with the first message takes some 100 KB, and a thousand connections the heap of a small dispatcher.
+     * A parser for one connection. It does not remember fields to know them again: what for that it would
+     * make with the first message takes some 100 KB, and a thousand connections the heap of a small
+     * dispatcher.
      */
     protected static HttpParser lean(HttpParser parser) {
         parser.setHeaderCacheSize(0);
--- a/daemon/src/test/java/wheelroute/StandstillTest.java
+++ b/daemon/src/test/java/wheelroute/StandstillTest.java
@@ -147,7 +147,8 @@
         }
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"admin\":\"127.0.0.1:0\","
                 + "\"discovery\":\"127.0.0.1:" + discovery.getPort() + "\",\"limits\":{\"sockets\":4096},"
-                + "\"known\":{\"version\":5,\"full\":true,\"servers\":[" + known + "]},\"settings\":{\"request_classes\":[{\"name\":"
+                + "\"known\":{\"version\":5,\"full\":true,\"servers\":[" + known
+                        + "]},\"settings\":{\"request_classes\":[{\"name\":"
                 + "\"job\",\"effect\":\"never\",\"on_time_us\":4000000,\"aim_stretch\":3,\"worth\":1,"
                 + "\"one_at_a_time\":" + inTurn + ",\"hard_limit_us\":30000000}],"
                 + "\"family_info\":{\"tells_start\":true},\"permissions\":{"
--- a/daemon/src/test/java/wheelroute/list/BackoffTest.java
+++ b/daemon/src/test/java/wheelroute/list/BackoffTest.java
@@ -71,8 +71,8 @@
     }
 
     /**
-     * All lose discovery in one moment, and it returns 17 s later with a queue for its callers. It works through
-     * the calls that were given up, too. Nobody gives up a call then, and all have the list in time.
+     * All lose discovery in one moment, and it returns 17 s later with a queue for its callers. It works
+     * through the calls that were given up, too. Nobody gives up a call then, and all have the list in time.
      */
     @Test(dataProvider = "fleets")
     public void afterAnOutageNobodyAsksTwice(int dispatchers, double took, double answersASecond) {
--- a/kit/src/main/java/wheelroute/kit/cli/Load.java
+++ b/kit/src/main/java/wheelroute/kit/cli/Load.java
@@ -81,7 +81,7 @@
         try {
             spec.commandLine().getOut().println(LoadRun.play(new LoadRun.Load(to, offering,
                     keys ? Effect.DEDUPLICATED : Effect.IDEMPOTENT, rate, connections, work, spread, timeout,
-                    seconds, seed), stop));
+                    seconds, seed, 0, 0), stop).text());
             spec.commandLine().getOut().flush();
         } finally {
             stop.finished();
--- a/kit/src/main/java/wheelroute/kit/cli/Wheelroute.java
+++ b/kit/src/main/java/wheelroute/kit/cli/Wheelroute.java
@@ -16,7 +16,7 @@
         description = "A dispatcher that sits beside each submitter and pushes jobs to workers, and its"
                 + " test kit.",
         subcommands = {Serve.class, Adapter.class, Rehearse.class, Check.class, Load.class, StandIn.class,
-            Admin.class, Peers.class,
+            Admin.class, Peers.class, Scale.class, Capacity.class,
             AutoComplete.GenerateCompletion.class},
         footer = {"", "Exit codes: 0 done, and all that was expected holds; 1 input that cannot be used,"
                 + " or a run "
--- a/kit/src/main/java/wheelroute/kit/real/Jobs.java
+++ b/kit/src/main/java/wheelroute/kit/real/Jobs.java
@@ -15,13 +15,13 @@
  * How a submission names itself and its work on the wire: the dispatcher passes id and body on unchanged, so
  * a worker learns from them alone what it has to do, whoever sent them.
  */
-final class Jobs {
+public final class Jobs {
     private static final JsonFactory JSON = new JsonFactory();
     private static final String MARK = "wr-";
     private static final int HEX = 16;
 
     /** What a worker reads off a message. */
-    record Job(long submission, double work, int slots, double memory) {
+    public record Job(long submission, double work, int slots, double memory) {
     }
 
     private Jobs() {
@@ -38,7 +38,7 @@
     }
 
     /** A message of somebody else's is a job of the usual work. */
-    static Job read(ClientMessage message, double usualWork) {
+    public static Job read(ClientMessage message, double usualWork) {
         double work = usualWork;
         int slots = 1;
         double memory = 0;
--- a/kit/src/main/java/wheelroute/kit/real/Keeper.java
+++ b/kit/src/main/java/wheelroute/kit/real/Keeper.java
@@ -13,7 +13,7 @@
  * own for each signal would cost more than the signal. When the pipe ends, for whatever reason, all that is
  * kept is killed, also what stands still just then.
  */
-final class Keeper implements AutoCloseable {
+public final class Keeper implements AutoCloseable {
     /** It outlives a ^C that reaches the whole group: it must see our end, and clear up after it. */
     private static final String SCRIPT = """
             trap '' INT TERM HUP
@@ -38,14 +38,14 @@
     private final BufferedWriter words;
 
     /** Notes lie in this folder, which is nobody else's. */
-    Keeper(Path folder) throws IOException {
+    public Keeper(Path folder) throws IOException {
         this.folder = folder;
         shell = new ProcessBuilder("sh", "-c", SCRIPT, folder.toString()).redirectErrorStream(true).start();
         words = shell.outputWriter();
     }
 
     /** Should this process die first, the one started goes with it. */
-    Process start(ProcessBuilder builder) throws IOException {
+    public Process start(ProcessBuilder builder) throws IOException {
         List<String> command = new ArrayList<>(List.of("sh", "-c", NOTED, folder.toString()));
         command.addAll(builder.command());
         Process process = builder.command(command).start();
--- a/kit/src/main/java/wheelroute/kit/real/LoadRun.java
+++ b/kit/src/main/java/wheelroute/kit/real/LoadRun.java
@@ -41,10 +41,16 @@
      * @param rate asks a second, by chance; 0 for a closed loop
      * @param connections that always have one submission out; 0 for an open loop
      * @param work a job's mean work in seconds
+     * @param tenants so many take turns, named t0 and on; 0 for none
+     * @param most of a closed loop, which is over after so many; 0 for no bound but the time
      */
     public record Load(InetSocketAddress address, String offering, Effect effect, double rate,
             int connections,
-            double work, double spread, double timeout, double seconds, long seed) {
+            double work, double spread, double timeout, double seconds, long seed, int tenants, int most) {
+    }
+
+    /** How it went: how many were sent, and how many of them were fulfilled. */
+    public record Result(int sent, long fulfilled, String text) {
     }
 
     private final Load load;
@@ -69,8 +75,8 @@
                 load.spread(), 0, load.timeout(), 0, load.timeout(), 1, 0, 0, 1, 0);
     }
 
-    /** Plays it and returns its report as text. */
-    public static String play(Load load, BooleanSupplier stop) throws RehearsalException {
+    /** Plays it to its end, or until it is told to stop. */
+    public static Result play(Load load, BooleanSupplier stop) throws RehearsalException {
         LoadRun run = new LoadRun(load);
         try {
             run.loop.start();
@@ -83,9 +89,10 @@
                 run.loop.post(() -> asked.complete(run.start > 0 && run.isOver()));
                 over = asked.get();
             }
-            CompletableFuture<String> text = new CompletableFuture<>();
-            run.loop.post(() -> text.complete(run.text()));
-            String report = text.get();
+            CompletableFuture<Result> result = new CompletableFuture<>();
+            run.loop.post(() -> result.complete(new Result(run.sent,
+                    run.answers.getOrDefault(Answer.FULFILLED, 0L), run.text())));
+            Result report = result.get();
             run.loop.stop();
             return report;
         } catch (Exception e) {
@@ -94,7 +101,8 @@
     }
 
     private boolean isOver() {
-        return loop.now() >= start + load.seconds() && open.isEmpty();
+        return (loop.now() >= start + load.seconds() || load.most() > 0 && sent >= load.most())
+                && open.isEmpty();
     }
 
     private void begin() {
@@ -122,7 +130,7 @@
     private void send(double at) {
         int number = sent++;
         double work = load.work() * Chance.lognormal(chance.of(Chance.Of.WORK, number, 0), load.spread());
-        Ask ask = new Ask(number, at - start, offering, Scenario.Tenant.NONE, work, work,
+        Ask ask = new Ask(number, at - start, offering, tenant(number), work, work,
                 Double.POSITIVE_INFINITY);
         Submitted submitted = new Submitted(ask, 0, 0, at, load.timeout());
         open.add(submitted.key());
@@ -136,8 +144,14 @@
         pool.submit(submitted);
     }
 
+    private Scenario.Tenant tenant(int number) {
+        return load.tenants() == 0 ? Scenario.Tenant.NONE
+                : new Scenario.Tenant("t" + number % load.tenants(), 1, 0);
+    }
+
     private void again(double pause) {
-        if (load.connections() > 0 && loop.now() < start + load.seconds()) {
+        if (load.connections() > 0 && loop.now() < start + load.seconds()
+                && (load.most() == 0 || sent < load.most())) {
             loop.later(pause, () -> send(loop.now()));
         }
     }
--- a/kit/src/main/java/wheelroute/kit/real/Outbox.java
+++ b/kit/src/main/java/wheelroute/kit/real/Outbox.java
@@ -7,23 +7,23 @@
 import org.eclipse.jetty.util.Callback;
 
 /** What goes out on one connection, in order, one write at a time. */
-final class Outbox {
+public final class Outbox {
     private final EndPoint endPoint;
     private final Runnable broken;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private boolean writing;
     private boolean closesAfter;
 
-    Outbox(EndPoint endPoint, Runnable broken) {
+    public Outbox(EndPoint endPoint, Runnable broken) {
         this.endPoint = endPoint;
         this.broken = broken;
     }
 
-    void send(String text) {
+    public void send(String text) {
         send(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
     }
 
-    void send(ByteBuffer... buffers) {
+    public void send(ByteBuffer... buffers) {
         for (ByteBuffer buffer : buffers) {
             waiting.addLast(buffer);
         }
@@ -31,7 +31,7 @@
     }
 
     /** Once all of it is out. */
-    void close() {
+    public void close() {
         closesAfter = true;
         flush();
     }
--- a/kit/src/main/java/wheelroute/kit/real/ServerLink.java
+++ b/kit/src/main/java/wheelroute/kit/real/ServerLink.java
@@ -11,7 +11,7 @@
 import wheelroute.net.clients.Room;
 
 /** A connection that a stand-in has accepted: it reads messages as the daemon itself would, and strictly. */
-abstract class ServerLink extends Link {
+public abstract class ServerLink extends Link {
     /** Bodies held at once by all of one kind of stand-in. */
     private static final long ROOM = 64L << 20;
 
@@ -19,7 +19,7 @@
     private final ClientDecoder decoder = new ClientDecoder(new Room(ROOM));
     private boolean ended;
 
-    ServerLink(EndPoint endPoint, Loop loop) {
+    protected ServerLink(EndPoint endPoint, Loop loop) {
         super(endPoint, loop);
         out = new Outbox(endPoint, () -> broke(null));
     }
--- a/kit/src/main/java/wheelroute/kit/report/HtmlWriter.java
+++ b/kit/src/main/java/wheelroute/kit/report/HtmlWriter.java
@@ -15,11 +15,7 @@
     }
 
     public static String text(List<Report> reports, String comparison) {
-        StringBuilder page = new StringBuilder("<!DOCTYPE html>\n<html lang=\"en\"><head><meta"
-                + " charset=\"utf-8\">"
-                + "<title>wheelroute rehearsal</title>\n<style>").append(resource(PLOT + "uPlot.min.css"))
-                .append(resource(OURS + "page.css")).append("</style></head><body>\n<h1>wheelroute"
-                        + " rehearsal</h1>\n");
+        StringBuilder page = new StringBuilder("<h1>wheelroute rehearsal</h1>\n");
         if (!comparison.isEmpty()) {
             page.append("<h2>All runs</h2>\n<pre>").append(escaped(comparison)).append("</pre>\n");
         }
@@ -32,14 +28,20 @@
                     .append(escaped(TableWriter.text(report))).append("</pre>\n<div id=\"run-").append(i)
                     .append("\"></div>\n");
         }
+        return page("wheelroute rehearsal", page.toString(), JsonWriter.text(reports), "page.js");
+    }
+
+    /** A whole page: the script of ours draws what is in the JSON. */
+    public static String page(String title, String body, String json, String script) {
         // Within a script only "</" could end it early.
-        return page.append("<script id=\"data\" type=\"application/json\">")
-                .append(JsonWriter.text(reports).replace("</", "<\\/")).append("</script>\n<script>")
-                .append(resource(PLOT + "uPlot.iife.min.js")).append("</script>\n<script>")
-                .append(resource(OURS + "page.js")).append("</script>\n</body></html>\n").toString();
+        return "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>" + title
+                + "</title>\n<style>" + resource(PLOT + "uPlot.min.css") + resource(OURS + "page.css")
+                + "</style></head><body>\n" + body + "<script id=\"data\" type=\"application/json\">"
+                + json.replace("</", "<\\/") + "</script>\n<script>" + resource(PLOT + "uPlot.iife.min.js")
+                + "</script>\n<script>" + resource(OURS + script) + "</script>\n</body></html>\n";
     }
 
-    private static String escaped(String text) {
+    public static String escaped(String text) {
         return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
     }
 
--- a/kit/src/test/java/wheelroute/kit/cli/CommandLineTest.java
+++ b/kit/src/test/java/wheelroute/kit/cli/CommandLineTest.java
@@ -54,6 +54,10 @@
                     "--offering: a/b cannot stand in a path"},
             {"load 127.0.0.1:1 --offering x --rate 1 --work 0", Exit.BAD_INPUT, "--work: 0.0 is not from"},
             {"stand-in nowhere", Exit.BAD_INPUT, "nowhere: 1 fault"},
+            {"scale --size /nowhere/at/all", Exit.BAD_INPUT, "--size: /nowhere/at/all is no file"},
+            {"scale --quick --full", Exit.BAD_USAGE, "mutually exclusive"},
+            {"capacity", Exit.BAD_USAGE, "--check"},
+            {"capacity --check /nowhere --slopes /at/all", Exit.BAD_INPUT, "--slopes: /at/all is no file"},
             {"", Exit.BAD_USAGE, "Usage"},
             {"dance", Exit.BAD_USAGE, "dance"},
         };
--- a/kit/src/test/java/wheelroute/kit/real/StartsTest.java
+++ b/kit/src/test/java/wheelroute/kit/real/StartsTest.java
@@ -18,7 +18,9 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Processes that start together by the shipped script, while discovery is down: how soon they take clients. */
+/**
+ * Processes that start together by the shipped script, while discovery is down: how soon they take clients.
+ */
 public class StartsTest {
     private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
     /** Nine in ten of those that start together are to be ready within this. */
@@ -93,16 +95,18 @@
     private static String known(int workers) {
         StringBuilder out = new StringBuilder("{\"version\":3,\"full\":true,\"servers\":[");
         for (int i = 0; i < workers; i++) {
+            String place = String.format(Locale.ROOT, "127.%d.%d.%d:9001", 1 + i / 62_500, i / 250 % 250,
+                    1 + i % 250);
             out.append(i > 0 ? "," : "").append(String.format(Locale.ROOT, "{\"id\":\"s-%08x\",\"addr\":"
-                    + "\"127.%d.%d.%d:9001\",\"zone\":\"z%d\",\"kind\":\"m%d\",\"cell\":%d,\"state\":\"ready\","
-                    + "\"weight\":1.0,\"started_ms\":0}", i, 1 + i / 62_500, i / 250 % 250, 1 + i % 250, i % 13,
-                    i % 3, i % 40));
+                    + "\"%s\",\"zone\":\"z%d\",\"kind\":\"m%d\",\"cell\":%d,\"state\":\"ready\","
+                    + "\"weight\":1.0,\"started_ms\":0}", i, place, i % 13, i % 3, i % 40));
         }
         return out.append("]}").toString();
     }
 
     private static String config(int number, int all, int memory, String known) throws IOException {
-        return "{\"name\":\"n" + number + "\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + closedPort()
+        return "{\"name\":\"n" + number + "\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+                + closedPort()
                 + "\",\"known\":" + known + ",\"settings\":{\"az\":\"z1\",\"balancers\":" + all
                 + ",\"request_classes\":[{\"name\":\"job\",\"effect\":\"free\",\"on_time_us\":500000,"
                 + "\"hard_limit_us\":5000000,\"worth\":1}]},\"limits\":{\"memory_mb\":" + memory + "}}";
