--- a/daemon/src/main/java/wheelroute/decision/Policy.java
+++ b/daemon/src/main/java/wheelroute/decision/Policy.java
@@ -994,7 +994,7 @@
             if (warm >= 1) {
                 return true;
             }
-            // It has the slots seen busy, and carries what all of its model do: for us, and as much for others.
+            // It has the slots seen busy, and carries what all of its model do: for us and for the others.
             double able = Math.max(model.speed * slots(), senders() * model.carries(now, firstTakenAt));
             double capacity = warm * able * settings.tipWindow() / processes;
             return cold.holds(now, work, capacity, loads.meanOfFirst(STANDARD), parts);
