A crowd that connects at once is accepted four a pass, and takes no others' descriptors

Seen: 600 clients on a process of 160 descriptors, by its settings and by the system, while discovery refuses: accepting failed with "Too many open files" in all four rows of DescriptorsTest (silent, idle after a message, half-open, with messages ahead of their turn). Ruled out: the places, which are kept once a connection has been opened. At fault: Jetty's acceptor takes all that waits in one pass of the selector, up to the backlog of 512, before Clients.opened can make room, and what is closed keeps its descriptor until the next pass.

Change: Loop accepts four on a socket in a pass; the rest waits with the system. As those may have waited through a standstill, what is read goes on being dated back while as many can still wait as did. Closing the listening socket empties it by four a round as well.

--- a/daemon/src/main/java/wheelroute/net/Loop.java
+++ b/daemon/src/main/java/wheelroute/net/Loop.java
@@ -57,6 +57,11 @@
     private static final int PASSES_TO_READ = 6;
     /** The system tells of so many ready sockets at a time, and of the rest in the next pass. */
     private static final int MOST_READY = 512;
+    /**
+     * Accepted on one socket in a pass: each has a descriptor before anybody can decide who makes room for
+     * it, and what is closed for it keeps its own until the next pass. The rest waits with the system.
+     */
+    private static final int MOST_ACCEPTS = 4;
     /** Any wait that is not 0 takes the selector through a round. */
     private static final double ROUND = 0.001;
     private static final double MILLIS = 1e3;
@@ -102,6 +107,12 @@
     private double passAt;
     /** For each of the last passes that came late: since when sockets had not been looked at. */
     private final double[] unseenSince = new double[PASSES_TO_READ];
+    /** The last to be accepted on, and on it in this pass. */
+    private SelectableChannel acceptsOn;
+    private int accepts;
+    /** Connections waited to be accepted as a pass ended; and so many were since none did. */
+    private boolean someWait;
+    private int acceptedOfThem;
     private long lastTimer;
     private Thread thread;
     private volatile Selector selector;
@@ -286,10 +297,15 @@
             later(ROUND, () -> emptyAndClose(server));
         } else {
             try {
-                for (SocketChannel next = server.accept(); next != null; next = server.accept()) {
+                for (int i = 0; i < MOST_ACCEPTS; i++) {
+                    SocketChannel next = server.accept();
+                    if (next == null) {
+                        unlisten(server);
+                        return;
+                    }
                     manager.accepted(next);
                 }
-                unlisten(server);
+                later(ROUND, () -> emptyAndClose(server));
             } catch (IOException e) {
                 LOG.warn("a listening socket did not close", e);
             }
@@ -315,13 +331,34 @@
     /** Guards against taking for new what came while nobody looked: the pass before was long, or stood. */
     private void passed(double wait, int ready) {
         double at = now();
-        if (at - passAt - wait > LATE || ready < MOST_READY) {
-            System.arraycopy(unseenSince, 1, unseenSince, 0, PASSES_TO_READ - 1);
-            unseenSince[PASSES_TO_READ - 1] = at - passAt - wait > LATE ? passAt : Double.POSITIVE_INFINITY;
+        boolean late = at - passAt - wait > LATE;
+        // When as many have been accepted as can have waited, those that still wait came later.
+        boolean queued = someWait && acceptedOfThem < BACKLOG;
+        int last = PASSES_TO_READ - 1;
+        if (!queued && (late || ready < MOST_READY)) {
+            System.arraycopy(unseenSince, 1, unseenSince, 0, last);
+            unseenSince[last] = Double.POSITIVE_INFINITY;
+        }
+        if (late || queued) {
+            unseenSince[last] = Math.min(unseenSince[last], passAt);
         }
+        if (!queued) {
+            acceptedOfThem = 0;
+        }
+        acceptsOn = null;
+        someWait = false;
         passAt = at;
     }
 
+    private boolean mayAccept(SelectableChannel server) {
+        if (server != acceptsOn) {
+            acceptsOn = server;
+            accepts = 0;
+        }
+        someWait |= accepts == MOST_ACCEPTS;
+        return accepts < MOST_ACCEPTS;
+    }
+
     private double runDue() {
         for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
             run(task);
@@ -383,6 +420,16 @@
             };
         }
 
+        @Override
+        protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
+            SelectableChannel channel = mayAccept(server) ? super.doAccept(server) : null;
+            if (channel != null) {
+                accepts++;
+                acceptedOfThem++;
+            }
+            return channel;
+        }
+
         @Override
         protected void accepted(SelectableChannel channel) throws IOException {
             channel.configureBlocking(false);
