--- a/kit/src/main/java/wheelroute/kit/scale/ScaleRun.java
+++ b/kit/src/main/java/wheelroute/kit/scale/ScaleRun.java
@@ -69,12 +69,16 @@
     private static final int SIDE_BY_SIDE = 3;
     private static final int USUAL_WORKERS = 1000;
     private static final double USUAL_CHANGES = 1;
-    private static final int USUAL_RATE = 35;
+    /** Launches a second beside each size of the list: the largest leaves no core time for many more. */
+    private static final int USUAL_RATE = 10;
     private static final double USUAL_WORK = 0.02;
     /** A list service that answers this many calls a second is never what is measured. */
     private static final double AMPLE = 100_000;
-    /** For the restart under all dispatchers: what the standing queue of all of them takes 1.5 s of. */
-    private static final double RESTART_CAPACITY = 200;
+    /**
+     * For the restart under all dispatchers, so many answers a second for each: all of them come back at once,
+     * and each wants another answer with each change, one a second.
+     */
+    private static final double RESTART_CAPACITY = 2;
     private static final double RESTART_AWAY = 3;
     private static final double RESTART_LIMIT = 30;
     private static final int COLD_LAUNCHES = 500;
@@ -548,7 +552,7 @@
     private void restart(Bench real, int many) throws Exception {
         ListService list = real.list;
         onLoop(() -> {
-            list.capacity(RESTART_CAPACITY);
+            list.capacity(RESTART_CAPACITY * many);
             list.account(ListService.Caller.HOLLOW).clear();
             list.restart(RESTART_AWAY);
             list.change(1);
--- a/kit/src/test/java/wheelroute/kit/scale/CapacityPageTest.java
+++ b/kit/src/test/java/wheelroute/kit/scale/CapacityPageTest.java
@@ -61,6 +61,16 @@
                 ScaleRun.HOLLOW_IN_FORCE, 1.0));
     }
 
+    /** The page that this repository ships says what the slopes and the size that it ships do. */
+    @Test
+    public void ourOwnPageIsTrue() throws IOException {
+        Path docs = Path.of("..", "docs");
+        Slopes slopes = Slopes.read(Files.readString(docs.resolve("capacity/slopes.json")));
+        Size size = Size.read(docs.resolve("capacity/size.toml"));
+        assertEquals(CapacityPage.faults(Files.readString(docs.resolve("CAPACITY.md")),
+                new Reckoning(slopes, size).tables()), List.of());
+    }
+
     private static Size size() throws IOException {
         return Size.read(Files.writeString(Files.createTempFile("size", ".toml"), SIZE));
     }
