Tests: one way to run a stand-in on a thread of its own, shared by three

Need: read again as a whole, DescriptorsTest and StandstillTest each wrote what ServiceHarness had. Life.start serves the three; what the tests assert is unchanged.

--- a/daemon/src/test/java/wheelroute/DescriptorsTest.java
+++ b/daemon/src/test/java/wheelroute/DescriptorsTest.java
@@ -42,23 +42,6 @@
 
     private final List<AutoCloseable> open = Collections.synchronizedList(new ArrayList<>());
 
-    private interface Life {
-        void run() throws Exception;
-    }
-
-    private static void live(Life life) {
-        Thread thread = new Thread(() -> {
-            try {
-                life.run();
-            } catch (Exception e) {
-                // Its peer has gone, or the case is over.
-                Thread.currentThread().interrupt();
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private static String head(InputStream in) throws IOException {
         StringBuilder out = new StringBuilder();
         while (out.indexOf("\r\n\r\n") < 0) {
@@ -91,6 +74,11 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** An answer with this body. */
+    private static void say(Socket socket, String body) throws IOException {
+        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
     private static String job(String id) {
         return "POST /job/x HTTP/1.1\r\nHost: a\r\nX-Request-ID: " + id
                 + "\r\nX-Timeout: 10\r\nX-Cost: 20000\r\nContent-Length: 2\r\n\r\nhi";
@@ -100,11 +88,11 @@
     private int worker(BlockingQueue<Integer> heard) throws IOException {
         ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
         open.add(server);
-        live(() -> {
+        Life.start(() -> {
             while (true) {
                 Socket socket = server.accept();
                 open.add(socket);
-                live(() -> {
+                Life.start(() -> {
                     while (true) {
                         String id = head(socket.getInputStream())
                                 .replaceAll("(?s).*X-Request-ID: (\\w+).*", "$1");
@@ -112,8 +100,7 @@
                         heard.add(server.getLocalPort());
                         String line = "{\"id\":\"" + id
                                 + "\",\"from\":\"w\",\"state\":\"done\",\"result\":\"\"}\n";
-                        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + line.length() + "\r\n\r\n"
-                                + line);
+                        say(socket, line);
                     }
                 });
             }
@@ -203,17 +190,15 @@
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
         AtomicInteger answers = new AtomicInteger();
-        live(() -> {
+        Life.start(() -> {
             while (true) {
                 Socket socket = server.accept();
                 open.add(socket);
-                live(() -> {
+                Life.start(() -> {
                     while (true) {
                         calls.add(head(socket.getInputStream()));
                         if (answers.getAndIncrement() == 0) {
-                            String text = list(6, worker);
-                            send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n"
-                                    + text);
+                            say(socket, list(6, worker));
                         }
                     }
                 });
--- a/daemon/src/test/java/wheelroute/StandstillTest.java
+++ b/daemon/src/test/java/wheelroute/StandstillTest.java
@@ -54,23 +54,6 @@
         return System.nanoTime() / NANOS;
     }
 
-    private interface Life {
-        void run() throws Exception;
-    }
-
-    private static void live(Life life) {
-        Thread thread = new Thread(() -> {
-            try {
-                life.run();
-            } catch (Exception e) {
-                // Its peer has gone, or the play is over.
-                Thread.currentThread().interrupt();
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** One message: its head, and as much body as that says. */
     private static String read(InputStream in) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -98,10 +81,10 @@
         ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
         open.add(server);
         AtomicInteger busy = new AtomicInteger();
-        live(() -> {
+        Life.start(() -> {
             while (true) {
                 Socket socket = server.accept();
-                live(() -> work(socket, busy));
+                Life.start(() -> work(socket, busy));
             }
         });
         return (InetSocketAddress) server.getLocalSocketAddress();
@@ -221,7 +204,7 @@
             }
             Socket socket = kept ? sockets.get(i) : null;
             String id = "j" + i;
-            live(() -> submit(socket, process.port(), id, timeout, done));
+            Life.start(() -> submit(socket, process.port(), id, timeout, done));
         }
         assertTrue(done.await(PATIENCE / 3, TimeUnit.MILLISECONDS), done.getCount() + " without an answer");
         assertEquals(answered.get(), count);
--- a/daemon/src/test/java/wheelroute/net/ServiceHarness.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceHarness.java
@@ -33,6 +33,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.testng.annotations.AfterMethod;
+import wheelroute.Life;
 import wheelroute.World;
 import wheelroute.config.Config;
 import wheelroute.decision.Effect;
@@ -171,21 +172,8 @@
         return spread ? hold.replaceFirst("hold_ms=HELD") : call;
     }
 
-    protected interface Life {
-        void run() throws Exception;
-    }
-
     protected static void start(Life life) {
-        Thread thread = new Thread(() -> {
-            try {
-                life.run();
-            } catch (Exception e) {
-                // Its peer has gone, or the case is over.
-                Thread.currentThread().interrupt();
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
+        Life.start(life);
     }
 
     /** One message: its head, and as much body as that says. */
