Scale run: state that nothing reads is gone

Read again as a whole. The list service noted the time of first calls, which nothing asked for, a daemon kept how long its start took beside returning it, and the accounts of callers were open to the package. What the run does and what the tests assert is unchanged.

--- a/kit/src/main/java/wheelroute/kit/scale/ListService.java
+++ b/kit/src/main/java/wheelroute/kit/scale/ListService.java
@@ -46,8 +46,6 @@
         long bytes;
         /** Of changes, in microseconds: from the change until it was in force at one caller. */
         final Histogram inForce = new Histogram(MOST_MICROS, 3);
-        /** When the last caller of each first call came, in seconds of the loop. */
-        double lastFirstCall = Double.NaN;
 
         void clear() {
             calls = 0;
@@ -67,7 +65,7 @@
     private final Set<Line> lines = new HashSet<>();
     private final ServerSocketChannel[] servers = new ServerSocketChannel[Caller.values().length];
     private final InetSocketAddress[] at = new InetSocketAddress[Caller.values().length];
-    final Account[] accounts = {new Account(), new Account()};
+    private final Account[] accounts = {new Account(), new Account()};
     private byte[] whole;
     private double freeAt;
     private int next;
@@ -235,9 +233,6 @@
                 return;
             }
             long from = Math.min(version(), Long.parseLong(watch.group(1)));
-            if (knows < 0) {
-                account.lastFirstCall = loop.now();
-            }
             for (long version = knows < 0 ? from + 1 : knows + 1; version <= from; version++) {
                 account.inForce.recordValue(Math.min(MOST_MICROS,
                         Math.round(MICROS * (loop.now() - changedAt.get((int) version)))));
--- a/kit/src/main/java/wheelroute/kit/scale/RealDaemon.java
+++ b/kit/src/main/java/wheelroute/kit/scale/RealDaemon.java
@@ -30,7 +30,6 @@
     private final long startedAt = System.nanoTime();
     private final Map<String, Double> threads = new HashMap<>();
     private InetSocketAddress address;
-    private double readyAfter;
 
     private RealDaemon(Process process, Path log) {
         this.process = process;
@@ -65,7 +64,7 @@
 
     /** Seconds from its start until it took clients. */
     double awaitReady() throws IOException, RehearsalException {
-        while (address == null) {
+        while (true) {
             if (!process.isAlive()) {
                 throw new RehearsalException("a daemon ended unasked: " + text());
             }
@@ -74,14 +73,12 @@
             }
             Matcher listens = LISTENS.matcher(text());
             if (listens.find()) {
-                readyAfter = (System.nanoTime() - startedAt) / NANOS;
                 address = new InetSocketAddress(InetAddress.getLoopbackAddress(),
                         Integer.parseInt(listens.group(1)));
-            } else {
-                pause(LOOK_MILLIS);
+                return (System.nanoTime() - startedAt) / NANOS;
             }
+            pause(LOOK_MILLIS);
         }
-        return readyAfter;
     }
 
     String lastLines() {
