Calls to discovery: the log tells how far a failed one came, and when the list is confirmed

Seen: attempts went to workers that had left, 2.2 s after their leaving counted as known, at four of 100 dispatchers. Their logs say "status 503" or "silence" and no more: not whether a connection came up, how long a call waited, or since when the list was unconfirmed.

Change: a failed call is logged with its phase, its duration, its hold, how long the list is unconfirmed and the failures in a row; the first answer after failures is logged; list_rejections_total counts error statuses.

--- a/daemon/src/main/java/wheelroute/net/Counters.java
+++ b/daemon/src/main/java/wheelroute/net/Counters.java
@@ -20,7 +20,8 @@
         CLIENT_CONNECTIONS("connections_total", "peer=\"client\""),
         WORKER_CONNECTIONS("connections_total", "peer=\"worker\""),
         DISCOVERY_CALLS("list_calls_total", ""),
-        DISCOVERY_FAILURES("list_failures_total", "");
+        DISCOVERY_FAILURES("list_failures_total", ""),
+        DISCOVERY_REJECTIONS("list_rejections_total", "");
 
         private final String name;
         private final String label;
--- a/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Connection;
@@ -47,11 +48,26 @@
     /** How long discovery may hold the call now open, in seconds. */
     private double hold;
 
+    private Phase phase = Phase.CONNECTING;
+
     private boolean answeredBefore;
 
     /** Unix time by which the response that has begun has to be complete; NaN before it begins. */
     private double completeBy = Double.NaN;
 
+    /** How far the call now open has come. */
+    enum Phase {
+        CONNECTING("while connecting"),
+        WAITING("while waiting for the response"),
+        READING("while reading the response");
+
+        private final String text;
+
+        Phase(String text) {
+            this.text = text;
+        }
+    }
+
     DiscoveryCall(
             EndpointWatch watch, EventLoop loop, InetSocketAddress address, Counters counters) {
         this.watch = watch;
@@ -65,6 +81,21 @@
         return calledAt;
     }
 
+    /** Seconds since the call now open began. */
+    double duration() {
+        return loop.now() - calledAt;
+    }
+
+    /** How far the call has come, and how long it has taken, for the log. */
+    String progress() {
+        return String.format(
+                Locale.ROOT,
+                "%s, %.3f s after its begin, hold %.1f s",
+                phase.text,
+                duration(),
+                hold);
+    }
+
     /** Whether discovery may hold the call now open. */
     boolean hasHold() {
         return hold != 0;
@@ -106,6 +137,7 @@
         counters.count(Counters.Counter.DISCOVERY_CALLS);
         calledAt = called ? loop.now() : calledAt;
         called = true;
+        phase = Phase.WAITING;
         completeBy = Double.NaN;
         WatchTiming timing = watch.timing();
         int holdMillis = watch.wantsCompleteList() ? 0 : timing.nextHoldMillis();
@@ -136,6 +168,7 @@
      */
     private void onProgress() {
         if (Double.isNaN(completeBy)) {
+            phase = Phase.READING;
             completeBy = loop.now() + COMPLETE_RESPONSE_TIMEOUT;
         }
         watch.restartTimeout(Math.min(WatchTiming.SILENCE_TIMEOUT, completeBy - loop.now()));
@@ -145,6 +178,7 @@
     public void head(int status, Map<String, String> fields) throws IOException {
         body.reset();
         if (status != HttpStatus.OK_200) {
+            counters.count(Counters.Counter.DISCOVERY_REJECTIONS);
             throw new IOException("status " + status);
         }
     }
--- a/daemon/src/main/java/wheelroute/net/discovery/EndpointWatch.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/EndpointWatch.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wheelroute.net.Counters;
@@ -54,6 +55,12 @@
 
     private boolean stopped;
 
+    /** Since when no call has been answered, Unix time in seconds; for the log. */
+    private double unansweredSince;
+
+    /** Calls that failed one after the other, none of which was answered. */
+    private int failuresInARow;
+
     /**
      * How discovery is to be polled.
      *
@@ -81,6 +88,7 @@
         this.listener = listener;
         this.version = version;
         timing = new WatchTiming(loop, options);
+        unansweredSince = loop.now();
         wantsCompleteList = version == NO_VERSION;
     }
 
@@ -157,10 +165,27 @@
      */
     boolean onResponse(byte[] json) throws IOException {
         boolean news = takeList(EndpointList.decode(json));
+        logRecovery();
         timing.onResponse();
         return news;
     }
 
+    private void logRecovery() {
+        if (failuresInARow > 0) {
+            LOG.info(
+                    "the list is confirmed again: version {}, after {} s and {} failed calls",
+                    version,
+                    seconds(loop.now() - unansweredSince),
+                    failuresInARow);
+        }
+        unansweredSince = loop.now();
+        failuresInARow = 0;
+    }
+
+    private static String seconds(double value) {
+        return String.format(Locale.ROOT, "%.3f", value);
+    }
+
     private boolean takeList(EndpointList list) throws IOException {
         if (!list.complete()) {
             if (wantsCompleteList) {
@@ -243,7 +268,14 @@
         if (call == null || which != call) {
             return false;
         }
-        LOG.info("a call for the list failed: {}", reason);
+        failuresInARow++;
+        LOG.info(
+                "a call for the list failed: {} {}; version {} is unconfirmed for {} s, {} in a row",
+                reason,
+                which.progress(),
+                version,
+                seconds(loop.now() - unansweredSince),
+                failuresInARow);
         counters.count(Counters.Counter.DISCOVERY_FAILURES);
         timing.onFailure();
         dropCall();
