Silent watches and new addresses: a large fleet keeps its places in discovery's queue

After a silence of its watch, or with a new address by reload, each call was given up after 1.2 s and made anew 0.2 s later (WatchTiming.callTimeout, retryDelay), by all dispatchers at one moment; the work on a queued call is spent all the same.

--- a/daemon/src/main/java/wheelroute/discovery/Backoff.java
+++ b/daemon/src/main/java/wheelroute/discovery/Backoff.java
@@ -140,7 +140,7 @@
     }
 
     /** Whether the fleet would call more often within the recovery time than it may. */
-    private boolean isLargeFleet() {
+    public boolean isLargeFleet() {
         return fleetInterval() > MAX_RECOVERY_TIME - CALL_TIMEOUT;
     }
 
--- a/daemon/src/main/java/wheelroute/net/discovery/WatchTiming.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/WatchTiming.java
@@ -33,7 +33,10 @@
      */
     private static final double URGENT_PERIOD = 4;
 
-    /** Within these periods a call without a hold has this long: two more may follow it in time. */
+    /**
+     * Within these periods a call without a hold has this long in a small fleet: two more may
+     * follow it in time.
+     */
     private static final double URGENT_CALL_TIMEOUT = 1.2;
 
     private static final double URGENT_RETRY_DELAY = 0.2;
@@ -95,7 +98,9 @@
 
     /** How long a call without a hold may take, with its connection's setup, in seconds. */
     double callTimeout() {
-        return isUrgent() ? URGENT_CALL_TIMEOUT : Backoff.CALL_TIMEOUT;
+        // A large fleet that lost its watches together queues up: who gives up loses its place, and
+        // the work on its call is spent all the same.
+        return isUrgent() && !backoff.isLargeFleet() ? URGENT_CALL_TIMEOUT : Backoff.CALL_TIMEOUT;
     }
 
     /** How long discovery may hold the next call while nothing changes, in milliseconds. */
@@ -119,6 +124,7 @@
      */
     double retryDelay(double callDuration) {
         double delay = backoff.nextDelay(callDuration, isOverloaded());
-        return isUrgent() || listIsPushed ? URGENT_RETRY_DELAY : delay;
+        boolean hurries = listIsPushed || (isUrgent() && !isOverloaded());
+        return hurries ? URGENT_RETRY_DELAY : delay;
     }
 }
--- a/daemon/src/test/java/wheelroute/net/EndpointLeaseServiceTest.java
+++ b/daemon/src/test/java/wheelroute/net/EndpointLeaseServiceTest.java
@@ -59,6 +59,29 @@
         assertEquals(status(ask(connect(), post(2))), 200);
     }
 
+    /**
+     * Many dispatchers lose their watches at one moment and queue up at discovery: a call keeps its
+     * place for as long as two of them fit into the recovery time.
+     */
+    @Test(timeOut = TIMEOUT_MILLIS)
+    public void aLargeFleetKeepsItsPlacesInTheQueue() throws Exception {
+        clock.stop();
+        serve(Idempotency.IDEMPOTENT, 1024, known(workers.listen()), 100);
+        // The first call waits for its turn, and is held; 0.9 s past that the watch is silent.
+        passUntilCalls(2);
+        passUntil(2.2);
+        assertEquals(metric("list_calls_total"), 2);
+        passUntil(0.5);
+        assertEquals(metric("list_calls_total"), 3);
+    }
+
+    private void passUntilCalls(int calls) throws Exception {
+        for (double passed = 0; metric("list_calls_total") < calls; passed += STEP) {
+            step();
+            assertEquals(passed < CALLED_AGAIN, true, "it is not asked any more");
+        }
+    }
+
     private void passUntil(double seconds) throws Exception {
         for (double passed = 0; passed < seconds; passed += STEP) {
             step();
