Accept and connect that fail for a moment end no other connection and blame no worker

Seen on real processes with failing system calls: with three in ten accepts failing, 119 of 903 requests were closed with no answer; with connects failing on this machine 39 of 894 non-idempotent requests were refused although nothing had been sent and other workers were idle.

Cause: Jetty's acceptor closes the channel of its variable when accept throws, which is the connection that it accepted before in the same pass (LoopSelectorManager.doAccept let the exception through); a connect that could not be begun was taken for a refusal of the worker's (WorkerConnectionPool.onFailed), and an attempt that never left this machine counted against the most attempts (RetryRules.mayAttempt).

Change: a failed accept is logged and tried again 10 ms later, also while the listening socket is emptied at the end; a bind that fails closes its channel; a connect without ports, buffers, descriptors or a route is LOCAL_FAILURE (launch_ends_total{end="local_failure"}), known never to have run and held against nobody; two such attempts of a request do not count.

--- a/daemon/src/main/java/wheelroute/decision/RetryRules.java
+++ b/daemon/src/main/java/wheelroute/decision/RetryRules.java
@@ -15,6 +15,9 @@
     /** Retries taken to have succeeded, so that a few errors prove nothing. */
     private static final int PRIOR_SUCCESSES = 2;
 
+    /** What keeps failing on this machine must not be tried for ever. */
+    private static final int MAX_UNCOUNTED = 2;
+
     private final DispatcherState state;
 
     RetryRules(DispatcherState state) {
@@ -33,7 +36,7 @@
             return false;
         }
         Settings settings = state.settings();
-        if (request.attempts().size() >= settings.maxAttempts()
+        if (countedAttempts(request) >= settings.maxAttempts()
                 || (request.hasInFlight() && !settings.mayHedge())
                 || state.now() > request.request().deadline() - MIN_TIME_LEFT) {
             return false;
@@ -42,6 +45,18 @@
                 || !request.mayHaveRun();
     }
 
+    /**
+     * Attempts that count against the most that are allowed: one that never left this machine was
+     * no worker's, up to a few in a row.
+     */
+    private static int countedAttempts(TrackedRequest request) {
+        int unsent = 0;
+        for (int i = 0; i < request.attempts().size(); i++) {
+            unsent += request.attempts().get(i).outcome() == Outcome.NOT_SENT ? 1 : 0;
+        }
+        return request.attempts().size() - Math.min(unsent, MAX_UNCOUNTED);
+    }
+
     /**
      * Whether the next attempt may go to this worker; for a key only where, and while, it is known.
      */
--- a/daemon/src/main/java/wheelroute/net/AttemptResult.java
+++ b/daemon/src/main/java/wheelroute/net/AttemptResult.java
@@ -25,6 +25,8 @@
     CONNECTION_REFUSED("refused"),
     /** The connection never came up. */
     CONNECT_TIMEOUT("never_up"),
+    /** A connection could not be begun, for a reason of this machine's. */
+    LOCAL_FAILURE("local_failure"),
     /** No descriptor is left for one more connection. */
     NO_DESCRIPTOR("no_room"),
     /** It broke before the last byte of the attempt was written. */
@@ -65,9 +67,9 @@
             case CONNECTION_REFUSED, CONNECT_TIMEOUT, BROKEN_BEFORE_SENT -> Outcome.CONNECT_FAILED;
             case CANCELLED -> Outcome.CANCELLED;
             case TIMED_OUT -> Outcome.TIMED_OUT;
-            // Lack of descriptors is ours: held against workers it would eject one after the
+            // What this machine lacks is ours: held against workers it would eject one after the
             // other.
-            case NOT_SENT, NO_DESCRIPTOR -> Outcome.NOT_SENT;
+            case NOT_SENT, NO_DESCRIPTOR, LOCAL_FAILURE -> Outcome.NOT_SENT;
         };
     }
 }
--- a/daemon/src/main/java/wheelroute/net/EventLoop.java
+++ b/daemon/src/main/java/wheelroute/net/EventLoop.java
@@ -206,7 +206,7 @@
             if (!local) {
                 channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             }
-            if (channel.connect(address)) {
+            if (beginConnect(channel, address)) {
                 manager.accept(channel, handler);
             } else {
                 manager.connect(channel, handler);
@@ -305,6 +305,17 @@
         return new SocketChannelEndPoint(channel, managedSelector, key, scheduler);
     }
 
+    /** Begins to connect; tests override it to fail as the system may. */
+    protected boolean beginConnect(SocketChannel channel, SocketAddress address)
+            throws IOException {
+        return channel.connect(address);
+    }
+
+    /** Accepts a connection, null for none; tests override it to fail as the system may. */
+    protected SocketChannel accept(ServerSocketChannel server) throws IOException {
+        return server.accept();
+    }
+
     /** Null if the listening socket is closed. */
     ChannelHandler handlerFor(SocketAddress local) {
         return listeningSockets.handlerFor(local);
--- a/daemon/src/main/java/wheelroute/net/ListeningSockets.java
+++ b/daemon/src/main/java/wheelroute/net/ListeningSockets.java
@@ -41,12 +41,17 @@
             InetSocketAddress address, EventLoop.ChannelHandler handler, boolean shared)
             throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
-        // A restart follows within moments of the last end, under the same address.
-        server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        if (shared) {
-            server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        try {
+            // A restart follows within moments of the last end, under the same address.
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (shared) {
+                server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+            register(server.bind(address, AcceptLimiter.BACKLOG), handler);
+        } catch (IOException | RuntimeException e) {
+            server.close();
+            throw e;
         }
-        register(server.bind(address, AcceptLimiter.BACKLOG), handler);
         return server;
     }
 
@@ -93,18 +98,33 @@
             loop.schedule(ONE_PASS, () -> acceptWaiting(server));
             return;
         }
+        double delay = ONE_PASS;
         try {
             for (int i = 0; i < AcceptLimiter.MAX_ACCEPTS; i++) {
-                SocketChannel next = server.accept();
+                SocketChannel next = loop.accept(server);
                 if (next == null) {
                     close(server);
                     return;
                 }
-                manager.accepted(next);
+                register(next);
             }
-            loop.schedule(ONE_PASS, () -> acceptWaiting(server));
         } catch (IOException e) {
-            LOG.warn("a listening socket did not close", e);
+            // Who waits there has been let in by the system, and is owed an answer.
+            LOG.warn("a connection could not be accepted, the next try follows: {}", e.toString());
+            delay = LoopSelectorManager.ACCEPT_RETRY_DELAY;
+        }
+        if (server.isOpen()) {
+            loop.schedule(delay, () -> acceptWaiting(server));
+        }
+    }
+
+    /** A connection that cannot be used is closed, and no other with it. */
+    private void register(SocketChannel accepted) {
+        try {
+            manager.accepted(accepted);
+        } catch (IOException | RuntimeException e) {
+            LOG.warn("an accepted connection cannot be used: {}", e.toString());
+            EventLoop.close(accepted);
         }
     }
 
--- a/daemon/src/main/java/wheelroute/net/LoopSelectorManager.java
+++ b/daemon/src/main/java/wheelroute/net/LoopSelectorManager.java
@@ -8,6 +8,7 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.Connection;
@@ -17,6 +18,8 @@
 import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.util.component.AbstractLifeCycle;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Jetty's selector on one thread. Jetty would hand its work to a pool; here its executor and its
@@ -31,9 +34,14 @@
      */
     private static final double MAX_WAIT = 0.05;
 
+    /** Seconds after an accept that failed: less than a process may stand still unnoticed. */
+    static final double ACCEPT_RETRY_DELAY = 0.01;
+
     private static final double MILLIS_PER_SECOND = 1e3;
     private static final double NANOS_PER_SECOND = 1e9;
 
+    private static final Logger LOG = LoggerFactory.getLogger(LoopSelectorManager.class);
+
     private final EventLoop loop;
     private final StandstillDetector standstill;
     private final AcceptLimiter acceptLimiter = new AcceptLimiter();
@@ -89,11 +97,37 @@
 
     @Override
     protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
-        SelectableChannel channel = acceptLimiter.mayAccept(server) ? super.doAccept(server) : null;
-        if (channel != null) {
-            acceptLimiter.onAccepted();
+        if (!acceptLimiter.mayAccept(server)) {
+            return null;
+        }
+        try {
+            SelectableChannel channel = loop.accept((ServerSocketChannel) server);
+            if (channel != null) {
+                acceptLimiter.onAccepted();
+            }
+            return channel;
+        } catch (IOException e) {
+            // Jetty would close the connection that it accepted before this one in the same pass.
+            LOG.warn("a connection could not be accepted, the next try follows: {}", e.toString());
+            pauseAccepting((ServerSocketChannel) server);
+            return null;
+        }
+    }
+
+    /** What lacks is mostly there a moment later; until then the selector would not wait at all. */
+    private void pauseAccepting(ServerSocketChannel server) {
+        SelectionKey key = server.keyFor(loop.selector());
+        if (key == null || !key.isValid()) {
+            return;
         }
-        return channel;
+        key.interestOps(0);
+        loop.schedule(
+                ACCEPT_RETRY_DELAY,
+                () -> {
+                    if (key.isValid()) {
+                        key.interestOps(SelectionKey.OP_ACCEPT);
+                    }
+                });
     }
 
     @Override
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPool.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPool.java
@@ -1,6 +1,8 @@
 package wheelroute.net.workers;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -128,13 +130,23 @@
         public void onFailed(Throwable cause) {
             pools.onClosed();
             connecting.remove(attempt);
-            attempt.end(
-                    cause instanceof SocketTimeoutException
-                            ? AttemptResult.CONNECT_TIMEOUT
-                            : AttemptResult.CONNECTION_REFUSED);
+            attempt.end(connectResult(cause));
         }
     }
 
+    /**
+     * What a failed connect proves: that the worker refused or was not reached, or else only that
+     * this machine could not begin, for want of ports, buffers, descriptors or a route.
+     */
+    private static AttemptResult connectResult(Throwable cause) {
+        if (cause instanceof SocketTimeoutException) {
+            return AttemptResult.CONNECT_TIMEOUT;
+        }
+        boolean byTheWorker =
+                cause instanceof ConnectException || cause instanceof NoRouteToHostException;
+        return byTheWorker ? AttemptResult.CONNECTION_REFUSED : AttemptResult.LOCAL_FAILURE;
+    }
+
     /** The connection can be used again. */
     void onIdle(WorkerConnection connection) {
         if (retired) {
--- a/daemon/src/test/java/wheelroute/net/HeldEventLoop.java
+++ b/daemon/src/test/java/wheelroute/net/HeldEventLoop.java
@@ -5,7 +5,10 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -35,6 +38,10 @@
     /** On all connections together. */
     final AtomicLong bytesRead = new AtomicLong();
 
+    /** What the next calls to the system end in; null for a call that succeeds. */
+    private final Queue<Optional<IOException>> accepts = new ConcurrentLinkedQueue<>();
+
+    private final Queue<Optional<IOException>> beginnings = new ConcurrentLinkedQueue<>();
     private final StepClock clock;
 
     HeldEventLoop(StepClock clock, double connectLimit) {
@@ -69,6 +76,36 @@
                 });
     }
 
+    /** The next accepts end so, one after the other; empty ones succeed. */
+    void planAccepts(List<Optional<IOException>> results) {
+        accepts.addAll(results);
+    }
+
+    /** The next connects end so, one after the other; empty ones succeed. */
+    void planConnects(List<Optional<IOException>> results) {
+        beginnings.addAll(results);
+    }
+
+    private static void failIfPlanned(Queue<Optional<IOException>> plan) throws IOException {
+        Optional<IOException> next = plan.poll();
+        if (next != null && next.isPresent()) {
+            throw next.get();
+        }
+    }
+
+    @Override
+    protected SocketChannel accept(ServerSocketChannel server) throws IOException {
+        failIfPlanned(accepts);
+        return super.accept(server);
+    }
+
+    @Override
+    protected boolean beginConnect(SocketChannel channel, SocketAddress address)
+            throws IOException {
+        failIfPlanned(beginnings);
+        return super.beginConnect(channel, address);
+    }
+
     /** Moves the stopped clock on, and returns when all that is due by then has run. */
     void step(double seconds) throws InterruptedException {
         // What is running completes at the time at which it began.
