Start times of workers survive a step of the wall clock

Seen on real processes: after a step of all wall clocks by an hour back, a worker that joins gets 56 and 57 attempts in its first 2 s where slow start lets 0 and 1 through; after an hour forward none in 10 s where 116 and 129 come.

Cause: Clock reads the wall clock once and goes on monotonically, which is right for what this process times itself; EndpointDirectory.endpoint handed the start times of other machines, by the stepped clock, to the decisions as they came.

Change: StartTimes brings them to this process's time line by the wall clock's offset as it is when a list comes, and takes the latest start of those that a step leaves possible; a start that was listed before stays where it was. Without a step the value is the listed one to the last digit.

--- a/daemon/src/main/java/wheelroute/net/Clock.java
+++ b/daemon/src/main/java/wheelroute/net/Clock.java
@@ -11,6 +11,11 @@
     private final double start = System.currentTimeMillis() / MILLIS_PER_SECOND;
     private final long startNanos = System.nanoTime();
 
+    /** The wall clock's reading now, in seconds: it may have been stepped since the start. */
+    public double wallTime() {
+        return System.currentTimeMillis() / MILLIS_PER_SECOND;
+    }
+
     /** The time now, in seconds; never goes back. */
     public double now() {
         return start + (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
--- a/daemon/src/main/java/wheelroute/net/EndpointDirectory.java
+++ b/daemon/src/main/java/wheelroute/net/EndpointDirectory.java
@@ -16,12 +16,17 @@
  */
 final class EndpointDirectory {
     private final WorkerConnectionPools pools;
+    private final StartTimes startTimes;
     private final Map<String, Member> members = new HashMap<>();
     private long lastWorkerId;
     private long version = EndpointWatch.NO_VERSION;
 
-    /** A worker on the list, with its latest entry. */
-    private record Member(Ids.Worker worker, EndpointList.Entry entry) {}
+    /**
+     * A worker on the list, with its latest entry.
+     *
+     * @param startedAt on this process's own time line
+     */
+    private record Member(Ids.Worker worker, EndpointList.Entry entry, double startedAt) {}
 
     /**
      * What a list or its changes mean.
@@ -33,8 +38,9 @@
     record Update(
             List<Endpoint> endpoints, List<Ids.Worker> draining, Map<String, Ids.Worker> removed) {}
 
-    EndpointDirectory(WorkerConnectionPools pools) {
+    EndpointDirectory(WorkerConnectionPools pools, StartTimes startTimes) {
         this.pools = pools;
+        this.startTimes = startTimes;
     }
 
     /** Takes over a list. Once the policy knows the update, {@link #settle} has to follow. */
@@ -44,6 +50,7 @@
             members.forEach((name, member) -> update.removed.put(name, member.worker));
         }
         version = list.version();
+        startTimes.observeWallClock();
         for (EndpointList.Entry entry : list.entries()) {
             apply(entry, update);
         }
@@ -53,7 +60,8 @@
     private void apply(EndpointList.Entry entry, Update update) {
         Member known = members.get(entry.id());
         Ids.Worker worker = known != null ? known.worker : new Ids.Worker(++lastWorkerId);
-        members.put(entry.id(), new Member(worker, entry));
+        double startedAt = startOf(entry, known);
+        members.put(entry.id(), new Member(worker, entry, startedAt));
         if (entry.state() == Endpoint.State.REMOVED) {
             update.removed.put(entry.id(), worker);
         } else {
@@ -63,16 +71,26 @@
                 update.draining.add(worker);
             }
         }
-        update.endpoints.add(endpoint(worker, entry));
+        update.endpoints.add(endpoint(worker, entry, startedAt));
+    }
+
+    /**
+     * A start that was listed before stays where it was, whatever the wall clock has done since.
+     */
+    private double startOf(EndpointList.Entry entry, Member known) {
+        boolean sameStart =
+                known != null && Double.compare(known.entry.startedAt(), entry.startedAt()) == 0;
+        return sameStart ? known.startedAt : startTimes.toTimeLine(entry.startedAt());
     }
 
-    private static Endpoint endpoint(Ids.Worker worker, EndpointList.Entry entry) {
+    private static Endpoint endpoint(
+            Ids.Worker worker, EndpointList.Entry entry, double startedAt) {
         return new Endpoint(
                 worker,
                 new Ids.Model(entry.model()),
                 entry.weight(),
                 new Ids.Zone(entry.zone()),
-                entry.startedAt(),
+                startedAt,
                 new Ids.Cell(entry.cell()),
                 entry.state());
     }
--- a/daemon/src/main/java/wheelroute/net/EventLoop.java
+++ b/daemon/src/main/java/wheelroute/net/EventLoop.java
@@ -116,6 +116,11 @@
         return clock.now();
     }
 
+    /** The wall clock's reading, in seconds, for times that other machines have written. */
+    double wallTime() {
+        return clock.wallTime();
+    }
+
     // ---- tasks
 
     /** Runs the task on the loop's thread, after those posted before. From any thread. */
--- a/daemon/src/main/java/wheelroute/net/RequestDispatcher.java
+++ b/daemon/src/main/java/wheelroute/net/RequestDispatcher.java
@@ -81,7 +81,7 @@
         // What a process is started with counts as known no sooner than if it were confirmed now.
         policy.onEndpointsConfirmed();
         turns = new TurnQueue(() -> policy.advanceTo(loop.now()));
-        endpoints = new EndpointDirectory(workers);
+        endpoints = new EndpointDirectory(workers, new StartTimes(loop));
         admission = new DrainAdmission(loop, settings, open::hasSuccessor);
         stateTransfer =
                 new StateTransfer(
--- a/daemon/src/test/java/wheelroute/net/StepClock.java
+++ b/daemon/src/test/java/wheelroute/net/StepClock.java
@@ -4,6 +4,7 @@
 final class StepClock extends Clock {
     private volatile double offset;
     private volatile double stoppedAt = Double.NaN;
+    private volatile double wallStep;
     private int readsLeft;
     private double jump;
 
@@ -14,6 +15,17 @@
         return Double.isNaN(at) ? super.now() + offset : at;
     }
 
+    @Override
+    public double wallTime() {
+        return now() + wallStep;
+    }
+
+    /** Steps the wall clock; the time line goes on as before. */
+    @SuppressWarnings("NonAtomicVolatileUpdate") // The test's thread alone writes it.
+    void stepWallClock(double seconds) {
+        wallStep += seconds;
+    }
+
     void stop() {
         stoppedAt = now();
     }
