Addresses are never looked up, and a predecessor's slots have a bound

Cause: ConfigReader.parse made its addresses by host name, so one name in an endpoint list could hold up the event loop for as long as a resolver takes, where README says that none is looked up; LearnedStateCodec took any integer for a model's slots.

Change: a host is an address as it is written, or localhost; a list with a name is refused with the field's fault as other lists are. More than 65,536 slots make a predecessor's text unusable.

Measured: AddressTest and LearnedStateCodecTest pass; with the old behaviour one case of each fails (of the names, those that do not resolve were null before as well). aStartThatFailsLeavesNothingOpen is new and passes with and without a mend tried for it: an admin socket left by a failed start was not seen.

--- a/daemon/src/main/java/wheelroute/config/ConfigReader.java
+++ b/daemon/src/main/java/wheelroute/config/ConfigReader.java
@@ -1,6 +1,8 @@
 package wheelroute.config;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -9,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 import wheelroute.decision.Settings;
 import wheelroute.peers.PeerId;
 
@@ -20,6 +23,12 @@
  */
 public final class ConfigReader {
     private static final int HEX = 16;
+
+    /** Addresses as they are written, which are taken without a look-up. */
+    private static final Pattern IPV4 =
+            Pattern.compile("((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!$)|$)){4}");
+
+    private static final Pattern IPV6 = Pattern.compile("\\[?[0-9a-fA-F]*:[0-9a-fA-F:.]+]?");
     private static final int MAX_PORT = 65_535;
 
     /** The runtime alone needs some thirty descriptors; with fewer than this nothing is served. */
@@ -256,9 +265,10 @@
     }
 
     /**
-     * Parses an address of the form host:port.
+     * Parses an address of the form host:port. The host is an address, or localhost: a name would
+     * have to be looked up, for which nothing here may wait.
      *
-     * @return null for any other text and for a host that does not resolve
+     * @return null for any other text
      */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
@@ -270,10 +280,18 @@
             if (port < 0 || port > MAX_PORT) {
                 return null;
             }
-            InetSocketAddress address = new InetSocketAddress(text.substring(0, colon), port);
-            return address.isUnresolved() ? null : address;
-        } catch (NumberFormatException e) {
+            InetAddress host = parseHost(text.substring(0, colon));
+            return host == null ? null : new InetSocketAddress(host, port);
+        } catch (NumberFormatException | UnknownHostException e) {
             return null;
         }
     }
+
+    private static InetAddress parseHost(String host) throws UnknownHostException {
+        if (host.equals("localhost")) {
+            return InetAddress.getLoopbackAddress();
+        }
+        boolean isAddress = IPV4.matcher(host).matches() || IPV6.matcher(host).matches();
+        return isAddress ? InetAddress.getByName(host) : null;
+    }
 }
--- a/daemon/src/main/java/wheelroute/net/handover/LearnedStateCodec.java
+++ b/daemon/src/main/java/wheelroute/net/handover/LearnedStateCodec.java
@@ -31,6 +31,10 @@
     private static final String MODELS = "models";
     private static final String ESTIMATES = "hints";
     private static final String SLOTS = "slots";
+
+    /** More than any worker has: whoever tells more has told something else. */
+    private static final int MAX_SLOTS = 1 << 16;
+
     private static final String RUNS = "runs";
     private static final String WAITS = "waits";
     private static final String FAILURES = "failures";
@@ -169,7 +173,7 @@
             String name = json.currentName();
             if (json.nextToken() == JsonToken.VALUE_NUMBER_INT) {
                 slots = json.getIntValue();
-                expect(slots >= 0);
+                expect(slots >= 0 && slots <= MAX_SLOTS);
             } else {
                 numbers.put(name, decodeNumbers(json));
             }
--- /dev/null
+++ b/daemon/src/test/java/wheelroute/AddressTest.java
@@ -0,0 +1,35 @@
+package wheelroute;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.InetSocketAddress;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.config.ConfigReader;
+
+/** Addresses in configurations and endpoint lists. */
+public class AddressTest {
+    @DataProvider
+    public Object[][] addresses() {
+        return new Object[][] {
+            {"127.0.0.1:80", "127.0.0.1"},
+            {"localhost:80", "127.0.0.1"},
+            {"[::1]:80", "0:0:0:0:0:0:0:1"},
+            {"10.20.30.255:80", "10.20.30.255"},
+            {"256.1.1.1:80", null},
+            {"1.2.3:80", null},
+            {"some-host:80", null},
+            {"discovery.example:80", null},
+            {"dead:80", null},
+            {":80", null},
+            {"127.0.0.1:65536", null},
+        };
+    }
+
+    /** No name is looked up: a resolver that does not answer would hold up all requests. */
+    @Test(dataProvider = "addresses", timeOut = 5_000)
+    public void addressesAreTakenAsTheyAreWritten(String text, String host) {
+        InetSocketAddress address = ConfigReader.parse(text);
+        assertEquals(address == null ? null : address.getAddress().getHostAddress(), host);
+    }
+}
--- a/daemon/src/test/java/wheelroute/net/OperatingTest.java
+++ b/daemon/src/test/java/wheelroute/net/OperatingTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -202,4 +203,36 @@
                 expectThrows(ConfigException.class, () -> new Service(config).start()).getMessage();
         assertTrue(message.contains("'admin'"), message);
     }
+
+    /** What a start had opened before it failed is free for the next one. */
+    @Test(timeOut = TIMEOUT_MILLIS)
+    public void aStartThatFailsLeavesNothingOpen() throws Exception {
+        InetAddress loopback = InetAddress.getLoopbackAddress();
+        try (ServerSocket taken = new ServerSocket(0, 1, loopback)) {
+            int adminPort;
+            try (ServerSocket free = new ServerSocket(0, 1, loopback)) {
+                adminPort = free.getLocalPort();
+            }
+            Config config =
+                    new Config(
+                            "n0",
+                            (InetSocketAddress) taken.getLocalSocketAddress(),
+                            discovery.listen(),
+                            new InetSocketAddress(loopback, adminPort),
+                            null,
+                            64,
+                            Double.NaN,
+                            known().getBytes(UTF_8),
+                            new PolicyHarness.SettingsFixture().settings(),
+                            0.5,
+                            10,
+                            maxTimeout,
+                            listIsPushed,
+                            null);
+            Service failing = new Service(config);
+            ConfigException fault = expectThrows(ConfigException.class, failing::start);
+            assertTrue(fault.getMessage().contains("listen"), fault.getMessage());
+            new ServerSocket(adminPort, 1, loopback).close();
+        }
+    }
 }
--- a/daemon/src/test/java/wheelroute/net/handover/LearnedStateCodecTest.java
+++ b/daemon/src/test/java/wheelroute/net/handover/LearnedStateCodecTest.java
@@ -63,6 +63,7 @@
             {worker.replace("R", "1,2,1e999")},
             {worker.replace("R", "1,1,1,".repeat(65) + "1,1,1")},
             {"{\"models\":{\"m\":{\"slots\":-1,\"runs\":[],\"waits\":[]}}}"},
+            {"{\"models\":{\"m\":{\"slots\":2000000000,\"runs\":[],\"waits\":[]}}}"},
             {"{\"hints\":{\"job\":[1,2]}}"},
         };
     }
