Kit tests: processes by the shipped script are started in one place

DispatcherStartTest and the test of a crowded discovery each started, watched and ended processes by deploy/run.sh; ScriptedDispatchers does it for both, and a process that failed to start no longer hides the failure behind another at the end. Assertions stay: each is ready, nine in ten in time, all end with 0.

--- a/kit/src/test/java/wheelroute/kit/process/CrowdedDiscoveryTest.java
+++ b/kit/src/test/java/wheelroute/kit/process/CrowdedDiscoveryTest.java
@@ -2,19 +2,13 @@
 
 import static org.testng.Assert.assertTrue;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -40,7 +34,6 @@
  * 17 turned away, for 25 s on end; answered were 0. Here real processes do the same.
  */
 public class CrowdedDiscoveryTest {
-    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
     private static final int DISPATCHERS = 40;
 
     /** Seven in ten. */
@@ -55,51 +48,40 @@
     /** A change counts as known after 6 s; attempts may go on for a grace of 3 s. */
     private static final double IN_TIME = 9;
 
-    private static final double GIVEN_UP = 30;
+    private static final int GIVEN_UP = 30;
+    private static final double POLL_INTERVAL = 0.05;
 
-    private final Process[] processes = new Process[DISPATCHERS];
-    private final double[] listeningAt = new double[DISPATCHERS];
-    private Path directory;
     private EventLoop loop;
     private CrowdedDiscovery discovery;
+    private ScriptedDispatchers dispatchers;
 
     @BeforeMethod
     public void begin() throws Exception {
-        directory = Files.createTempDirectory("crowded");
         loop = new EventLoop(new Clock(), 1);
         loop.start();
         discovery = onLoop(() -> new CrowdedDiscovery(loop, DISPATCHERS, CAPACITY));
+        dispatchers = new ScriptedDispatchers(DISPATCHERS, loop::now);
     }
 
     @AfterMethod(alwaysRun = true)
     public void end() throws Exception {
-        for (Process process : processes) {
-            process.destroyForcibly().waitFor();
-        }
+        dispatchers.close();
         loop.stop();
-        try (Stream<Path> files = Files.walk(directory)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(file);
-            }
-        }
     }
 
     /** Rule 3 needs the list in time at every dispatcher, also where all ask at once. */
     @Test(timeOut = 180_000)
     public void everyDispatcherIsAnsweredAfterMassRestart() throws Exception {
-        for (int i = 0; i < DISPATCHERS; i++) {
-            start(i);
-        }
-        awaitListening();
-        await(i -> !Double.isNaN(discovery.answeredAt(i)), GIVEN_UP);
+        start(DISPATCHERS);
+        awaitAnswers();
         onLoop(
                 () -> {
                     discovery.goDown();
                     return null;
                 });
-        pause(OUTAGE);
+        ScriptedDispatchers.pause(OUTAGE);
         for (int i = 0; i < KILLED; i++) {
-            processes[i].destroyForcibly().waitFor();
+            dispatchers.kill(i);
         }
         double returnedAt =
                 onLoop(
@@ -107,45 +89,45 @@
                             discovery.comeBack();
                             return loop.now();
                         });
-        for (int i = 0; i < KILLED; i++) {
-            start(i);
-        }
-        awaitListening();
-        await(i -> !Double.isNaN(discovery.answeredAt(i)), GIVEN_UP);
+        start(KILLED);
+        awaitAnswers();
         List<String> late = new ArrayList<>();
         for (int i = 0; i < DISPATCHERS; i++) {
-            double at = answeredAt(i);
-            double since = Math.max(returnedAt, listeningAt[i]);
-            if (!(at - since <= IN_TIME)) {
-                late.add(String.format("%d: %.1f s", i, at - since));
+            double since = Math.max(returnedAt, dispatchers.listeningAt(i));
+            double waited = answeredAt(i) - since;
+            if (!(waited <= IN_TIME)) {
+                late.add(String.format(Locale.ROOT, "%d: %.1f s", i, waited));
             }
         }
         assertTrue(
                 late.isEmpty(), "late, or never (NaN): " + late + "; " + onLoop(discovery::counts));
     }
 
-    private double answeredAt(int dispatcher) throws Exception {
-        return onLoop(() -> discovery.answeredAt(dispatcher));
+    private void start(int count) throws Exception {
+        for (int i = 0; i < count; i++) {
+            dispatchers.start(i, config(i));
+        }
+        dispatchers.awaitListening(GIVEN_UP);
+        for (int i = 0; i < count; i++) {
+            assertTrue(dispatchers.listeningAt(i) > 0, dispatchers.logText(i));
+        }
     }
 
-    private interface Condition {
-        boolean holds(int dispatcher);
+    private double answeredAt(int dispatcher) throws Exception {
+        return onLoop(() -> discovery.answeredAt(dispatcher));
     }
 
-    /** Returns when it holds for all, or the time is over. */
-    private void await(Condition condition, double seconds) throws Exception {
-        double until = loop.now() + seconds;
-        while (loop.now() < until
-                && !onLoop(() -> IntStream.range(0, DISPATCHERS).allMatch(condition::holds))) {
-            pause(0.05);
+    /** Returns when all are answered, or the time is over. */
+    private void awaitAnswers() throws Exception {
+        double until = loop.now() + GIVEN_UP;
+        while (loop.now() < until && !onLoop(this::areAllAnswered)) {
+            ScriptedDispatchers.pause(POLL_INTERVAL);
         }
     }
 
-    private static void pause(double seconds) {
-        long until = System.nanoTime() + (long) (seconds * TimeUnit.SECONDS.toNanos(1));
-        while (System.nanoTime() < until) {
-            LockSupport.parkNanos(until - System.nanoTime());
-        }
+    private boolean areAllAnswered() {
+        return IntStream.range(0, DISPATCHERS)
+                .noneMatch(i -> Double.isNaN(discovery.answeredAt(i)));
     }
 
     private <T> T onLoop(Callable<T> task) throws Exception {
@@ -158,41 +140,7 @@
                         result.completeExceptionally(e);
                     }
                 });
-        return result.get((long) GIVEN_UP, TimeUnit.SECONDS);
-    }
-
-    private Path log(int dispatcher) {
-        return directory.resolve("log" + dispatcher);
-    }
-
-    private void start(int dispatcher) throws Exception {
-        Path config = directory.resolve("config" + dispatcher);
-        Files.writeString(config, config(dispatcher));
-        Files.deleteIfExists(log(dispatcher));
-        listeningAt[dispatcher] = Double.NaN;
-        ProcessBuilder builder =
-                new ProcessBuilder("bash", "deploy/run.sh").directory(ROOT.toFile());
-        builder.environment().put("LB_CONFIG", config.toString());
-        builder.environment().put("TMPDIR", directory.toString());
-        processes[dispatcher] =
-                builder.redirectErrorStream(true).redirectOutput(log(dispatcher).toFile()).start();
-    }
-
-    private void awaitListening() throws IOException {
-        double until = loop.now() + GIVEN_UP;
-        for (boolean all = false; !all; ) {
-            all = true;
-            for (int i = 0; i < DISPATCHERS; i++) {
-                if (Double.isNaN(listeningAt[i]) || listeningAt[i] == 0) {
-                    boolean listens =
-                            Files.readString(log(i), StandardCharsets.UTF_8).contains("listens on");
-                    listeningAt[i] = listens ? loop.now() : Double.NaN;
-                    all &= listens;
-                }
-            }
-            assertTrue(loop.now() < until, "some did not start");
-            pause(0.02);
-        }
+        return result.get(GIVEN_UP, TimeUnit.SECONDS);
     }
 
     private String config(int number) {
--- a/kit/src/test/java/wheelroute/kit/process/DispatcherStartTest.java
+++ b/kit/src/test/java/wheelroute/kit/process/DispatcherStartTest.java
@@ -6,15 +6,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
-import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -23,8 +16,6 @@
  * clients.
  */
 public class DispatcherStartTest {
-    private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
-
     /** Nine in ten of those that start together are to be ready within this. */
     private static final double IN_TIME = 10;
 
@@ -45,64 +36,27 @@
      */
     @Test(dataProvider = "starts", timeOut = 120_000)
     public void nineInTenAreReadyInTime(int processes, int workers, int memory) throws Exception {
-        Path directory = Files.createTempDirectory("starts");
-        List<Process> started = new ArrayList<>();
-        List<Path> logs = new ArrayList<>();
-        try {
+        try (ScriptedDispatchers dispatchers =
+                new ScriptedDispatchers(processes, DispatcherStartTest::now)) {
             String known = known(workers);
+            double begun = now();
             for (int i = 0; i < processes; i++) {
-                logs.add(directory.resolve("log" + i));
-                Files.writeString(
-                        directory.resolve("config" + i), config(i, processes, memory, known));
-            }
-            long begun = System.nanoTime();
-            for (int i = 0; i < processes; i++) {
-                ProcessBuilder builder =
-                        new ProcessBuilder("bash", "deploy/run.sh").directory(ROOT.toFile());
-                builder.environment().put("LB_CONFIG", directory.resolve("config" + i).toString());
-                builder.environment().put("TMPDIR", directory.toString());
-                started.add(
-                        builder.redirectErrorStream(true)
-                                .redirectOutput(logs.get(i).toFile())
-                                .start());
-            }
-            double[] ready = new double[processes];
-            double now = 0;
-            while (IntStream.range(0, processes).anyMatch(i -> ready[i] == 0) && now < GIVEN_UP) {
-                now = (System.nanoTime() - begun) / (double) TimeUnit.SECONDS.toNanos(1);
-                for (int i = 0; i < processes; i++) {
-                    ready[i] =
-                            ready[i] == 0 && text(logs.get(i)).contains("listens on")
-                                    ? now
-                                    : ready[i];
-                }
-                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+                dispatchers.start(i, config(i, processes, memory, known));
             }
+            dispatchers.awaitListening(GIVEN_UP);
+            int inTime = 0;
             for (int i = 0; i < processes; i++) {
-                assertTrue(ready[i] > 0, text(logs.get(i)));
+                double ready = dispatchers.listeningAt(i) - begun;
+                assertTrue(ready > 0, dispatchers.logText(i));
+                inTime += ready <= IN_TIME ? 1 : 0;
             }
-            long inTime = IntStream.range(0, processes).filter(i -> ready[i] <= IN_TIME).count();
             assertTrue(inTime >= NINE_IN_TEN * processes, inTime + " of " + processes + " in time");
-        } finally {
-            started.forEach(process -> process.toHandle().destroy());
-            for (Process process : started) {
-                assertEquals(process.waitFor(), 0);
-            }
-            started.clear();
-            for (int i = 0; i < processes; i++) {
-                Files.deleteIfExists(logs.get(i));
-                Files.deleteIfExists(directory.resolve("config" + i));
-            }
-            Files.deleteIfExists(directory);
+            assertEquals(dispatchers.terminateAll(), new int[processes]);
         }
     }
 
-    private static String text(Path log) throws IllegalStateException {
-        try {
-            return Files.exists(log) ? Files.readString(log, StandardCharsets.UTF_8) : "";
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+    private static double now() {
+        return System.nanoTime() / (double) TimeUnit.SECONDS.toNanos(1);
     }
 
     /** In one line, as programs write it. */
