Kit: the stub of discovery, the stubs' run and a daemon's start are split by job

StubDiscovery writes an entry apart from the list and takes what all dispatchers are told as one Subject; StubRun's dispatchers that are not its own have a class; DaemonProcess makes its command apart.

--- a/kit/src/main/java/wheelroute/kit/process/DaemonProcess.java
+++ b/kit/src/main/java/wheelroute/kit/process/DaemonProcess.java
@@ -72,6 +72,31 @@
 
     static DaemonProcess start(Spec spec, ProcessSupervisor supervisor, Listener listener)
             throws IOException {
+        Path root = root();
+        ProcessBuilder builder = new ProcessBuilder(command(spec, root)).redirectErrorStream(true);
+        if (spec.jar == null && root != null) {
+            builder.directory(root.toFile());
+        }
+        int port = spec.port;
+        if (spec.jar != null && port == 0) {
+            // Builds before 0.2 do not tell which port they got.
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port = free.getLocalPort();
+            }
+        }
+        builder.environment().put("LB_CONFIG", spec.config.toString());
+        builder.environment().put("LB_LISTEN", host() + ":" + port);
+        builder.environment().put("LB_DISCOVERY", host() + ":" + spec.discovery.getPort());
+        builder.environment().put("LB_ADMIN", host() + ":0");
+        builder.environment().put("TMPDIR", spec.temporary.toString());
+        DaemonProcess daemon = new DaemonProcess(spec, supervisor.start(builder), port);
+        Thread reader = new Thread(() -> daemon.read(listener), spec.name + "-log");
+        reader.setDaemon(true);
+        reader.start();
+        return daemon;
+    }
+
+    private static List<String> command(Spec spec, Path root) {
         List<String> command =
                 new ArrayList<>(
                         List.of(
@@ -85,7 +110,6 @@
                                 "-Xms24m",
                                 "-Xmx" + spec.heapMb + "m",
                                 "-Xss512k"));
-        Path root = root();
         if (spec.jar != null) {
             command.addAll(List.of("-jar", spec.jar.toString(), "serve"));
         } else if (root != null) {
@@ -100,27 +124,7 @@
                             "wheelroute.Main",
                             "serve"));
         }
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        if (spec.jar == null && root != null) {
-            builder.directory(root.toFile());
-        }
-        int port = spec.port;
-        if (spec.jar != null && port == 0) {
-            // Builds before 0.2 do not tell which port they got.
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                port = free.getLocalPort();
-            }
-        }
-        builder.environment().put("LB_CONFIG", spec.config.toString());
-        builder.environment().put("LB_LISTEN", host() + ":" + port);
-        builder.environment().put("LB_DISCOVERY", host() + ":" + spec.discovery.getPort());
-        builder.environment().put("LB_ADMIN", host() + ":0");
-        builder.environment().put("TMPDIR", spec.temporary.toString());
-        DaemonProcess daemon = new DaemonProcess(spec, supervisor.start(builder), port);
-        Thread reader = new Thread(() -> daemon.read(listener), spec.name + "-log");
-        reader.setDaemon(true);
-        reader.start();
-        return daemon;
+        return command;
     }
 
     /** Where the whole repository is built; null where the kit runs off its classes alone. */
--- a/kit/src/main/java/wheelroute/kit/process/RunEnvironment.java
+++ b/kit/src/main/java/wheelroute/kit/process/RunEnvironment.java
@@ -109,12 +109,13 @@
                     new StubDiscovery(
                             loop,
                             i,
-                            cluster.registry,
-                            auditor,
-                            scenario,
-                            workerAddresses::get,
+                            new StubDiscovery.Subject(
+                                    cluster.registry,
+                                    auditor,
+                                    scenario,
+                                    workerAddresses::get,
+                                    discoveryCalls),
                             anyPort(),
-                            discoveryCalls,
                             () -> links.isOpen(NetworkLink.toDiscovery(dispatcher)));
             addresses.add(links.toDiscovery(i, discovery));
         }
--- a/kit/src/main/java/wheelroute/kit/process/StubDiscovery.java
+++ b/kit/src/main/java/wheelroute/kit/process/StubDiscovery.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntFunction;
@@ -45,25 +46,39 @@
     /** False while what is written here need not arrive. */
     private final BooleanSupplier heard;
 
-    StubDiscovery(
-            EventLoop loop,
-            int dispatcher,
+    /**
+     * What all dispatchers are told.
+     *
+     * @param addresses where each worker is reached, by its number
+     */
+    record Subject(
             EndpointRegistry registry,
             Auditor auditor,
             Scenario scenario,
             IntFunction<InetSocketAddress> addresses,
+            DiscoveryCallCounter calls) {}
+
+    /**
+     * Listens for one dispatcher.
+     *
+     * @param wanted the address to listen at
+     * @param heard false while what is written here need not arrive
+     */
+    StubDiscovery(
+            EventLoop loop,
+            int dispatcher,
+            Subject subject,
             InetSocketAddress wanted,
-            DiscoveryCallCounter calls,
             BooleanSupplier heard)
             throws IOException {
-        this.calls = calls;
+        calls = subject.calls;
         this.heard = heard;
         this.loop = loop;
         this.dispatcher = dispatcher;
-        this.registry = registry;
-        this.auditor = auditor;
-        this.scenario = scenario;
-        this.addresses = addresses;
+        registry = subject.registry;
+        auditor = subject.auditor;
+        scenario = subject.scenario;
+        addresses = subject.addresses;
         ServerSocketChannel server = loop.listen(wanted, this);
         address =
                 new InetSocketAddress(
@@ -100,52 +115,47 @@
     }
 
     private String json(List<EndpointRegistry.Entry> entries, boolean whole) {
-        StringBuilder json =
-                new StringBuilder(
-                        "{\"version\":"
-                                + registry.version()
-                                + ",\"full\":"
-                                + whole
-                                + ",\"servers\":[");
-        String comma = "";
+        List<String> listed = new ArrayList<>();
         for (EndpointRegistry.Entry entry : entries) {
             // What need not arrive counts as told only at last; that one is back can only be in its
             // favour.
             if (heard.getAsBoolean() || entry.state() == EndpointRegistry.State.READY) {
                 auditor.onNotified(dispatcher, entry.worker().number, entry.state());
             }
-            if (whole && entry.state() == EndpointRegistry.State.GONE) {
-                continue;
+            if (!whole || entry.state() != EndpointRegistry.State.GONE) {
+                listed.add(json(entry));
             }
-            InetSocketAddress at = addresses.apply(entry.worker().number);
-            long started =
-                    Double.isNaN(entry.startedAt()) ? 0 : Math.round(entry.startedAt() * MILLIS);
-            json.append(comma)
-                    .append("{\"id\":\"")
-                    .append(entry.worker().name)
-                    .append("\",\"addr\":\"")
-                    .append(at.getAddress().getHostAddress())
-                    .append(':')
-                    .append(at.getPort())
-                    .append("\",\"zone\":\"")
-                    .append(entry.worker().group.zone())
-                    .append("\",\"kind\":\"")
-                    .append(entry.worker().group.model())
-                    .append("\",\"cell\":")
-                    .append(scenario.groups().indexOf(entry.worker().group))
-                    .append(",\"state\":\"")
-                    .append(
-                            switch (entry.state()) {
-                                case READY -> "ready";
-                                case DRAINING -> "draining";
-                                case GONE -> "gone";
-                            })
-                    .append("\",\"weight\":1.0,\"started_ms\":")
-                    .append(started)
-                    .append('}');
-            comma = ",";
         }
-        return json.append("]}").toString();
+        return String.format(
+                Locale.ROOT,
+                "{\"version\":%d,\"full\":%b,\"servers\":[%s]}",
+                registry.version(),
+                whole,
+                String.join(",", listed));
+    }
+
+    private String json(EndpointRegistry.Entry entry) {
+        InetSocketAddress at = addresses.apply(entry.worker().number);
+        return String.format(
+                Locale.ROOT,
+                "{\"id\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"%s\",\"kind\":\"%s\",\"cell\":%d,"
+                        + "\"state\":\"%s\",\"weight\":1.0,\"started_ms\":%d}",
+                entry.worker().name,
+                at.getAddress().getHostAddress(),
+                at.getPort(),
+                entry.worker().group.zone(),
+                entry.worker().group.model(),
+                scenario.groups().indexOf(entry.worker().group),
+                name(entry.state()),
+                Double.isNaN(entry.startedAt()) ? 0 : Math.round(entry.startedAt() * MILLIS));
+    }
+
+    private static String name(EndpointRegistry.State state) {
+        return switch (state) {
+            case READY -> "ready";
+            case DRAINING -> "draining";
+            case GONE -> "gone";
+        };
     }
 
     /** One call after the other; a watch is held. */
--- a/kit/src/main/java/wheelroute/kit/process/StubRun.java
+++ b/kit/src/main/java/wheelroute/kit/process/StubRun.java
@@ -70,6 +70,24 @@
         }
     }
 
+    /** Dispatchers that somebody else starts and ends. */
+    private static final class ForeignDispatchers implements ClusterModel.DispatcherControl {
+        @Override
+        public void kill(int dispatcher) {
+            // Not ours.
+        }
+
+        @Override
+        public void terminate(int dispatcher) {
+            // Not ours.
+        }
+
+        @Override
+        public void start(int dispatcher, Scenario.How how) {
+            // Not ours.
+        }
+    }
+
     private static List<String> begin(
             EventLoop loop,
             Scenario scenario,
@@ -93,34 +111,15 @@
                             auditor,
                             local(firstWorker == 0 ? 0 : firstWorker + i)));
         }
-        StubDiscovery list =
-                new StubDiscovery(
-                        loop,
-                        0,
+        StubDiscovery.Subject subject =
+                new StubDiscovery.Subject(
                         cluster.registry,
                         auditor,
                         scenario,
                         n -> workers.get(n).address(),
-                        local(discoveryPort),
-                        new DiscoveryCallCounter(),
-                        () -> true);
-        cluster.start(
-                new ClusterModel.DispatcherControl() {
-                    @Override
-                    public void kill(int dispatcher) {
-                        // Not ours.
-                    }
-
-                    @Override
-                    public void terminate(int dispatcher) {
-                        // Not ours.
-                    }
-
-                    @Override
-                    public void start(int dispatcher, Scenario.How how) {
-                        // Not ours.
-                    }
-                });
+                        new DiscoveryCallCounter());
+        StubDiscovery list = new StubDiscovery(loop, 0, subject, local(discoveryPort), () -> true);
+        cluster.start(new ForeignDispatchers());
         List<String> lines = new ArrayList<>();
         lines.add("discovery at " + text(list.address()));
         for (int i = 0; i < workers.size(); i++) {
