Kit: a counter's past does not begin at 0, and links reset in the order of their connections

Change: the last forgotten value is kept; the connections stay in the order in which they came.

Measured: CounterHistoryTest and SimulatedLinkTest pass; with the old classes one case of each fails (14 expected, 0 found; 0 expected, 17 found).

--- a/kit/src/main/java/wheelroute/kit/audit/CounterHistory.java
+++ b/kit/src/main/java/wheelroute/kit/audit/CounterHistory.java
@@ -11,11 +11,14 @@
     private final ArrayDeque<Point> points = new ArrayDeque<>();
     private long value;
 
+    /** The value before the oldest one that is kept. */
+    private long forgotten;
+
     void add(double now, long change) {
         value += change;
         points.addLast(new Point(now, value));
         while (points.size() > 1 && points.peekFirst().time < now - RETENTION) {
-            points.pollFirst();
+            forgotten = points.pollFirst().value;
         }
     }
 
@@ -23,9 +26,9 @@
         return value;
     }
 
-    /** The value at this time; 0 for a time before the oldest value that is kept. */
+    /** The value at this time; for a time before what is kept the last one that was forgotten. */
     long valueAt(double time) {
-        long last = points.isEmpty() || points.peekFirst().time > time ? firstValue() : value;
+        long last = forgotten;
         for (Point point : points) {
             if (point.time > time) {
                 break;
@@ -35,11 +38,6 @@
         return last;
     }
 
-    /** The value before the first one that is kept. */
-    private long firstValue() {
-        return points.isEmpty() ? value : 0;
-    }
-
     /** The minimum value within a period. */
     long min(double from, double to) {
         long min = valueAt(from);
--- a/kit/src/main/java/wheelroute/kit/simulation/SimulatedLink.java
+++ b/kit/src/main/java/wheelroute/kit/simulation/SimulatedLink.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -24,7 +24,12 @@
     private record Message(Runnable arrival, BooleanSupplier stillWanted) {}
 
     private final Timeline timeline;
-    private final Set<Connection> connections = new HashSet<>();
+
+    /**
+     * In the order in which they came, in which they are reset: a seed plays the same each time.
+     */
+    private final Set<Connection> connections = new LinkedHashSet<>();
+
     private final ArrayDeque<Message> heldOutbound = new ArrayDeque<>();
     private final ArrayDeque<Message> heldInbound = new ArrayDeque<>();
     private LinkState state = LinkState.OPEN;
