--- a/daemon/src/main/java/wheelroute/net/AttemptResult.java
+++ b/daemon/src/main/java/wheelroute/net/AttemptResult.java
@@ -25,9 +25,10 @@
     CONNECTION_REFUSED("refused"),
     /** The connection never came up. */
     CONNECT_TIMEOUT("never_up"),
-    /** A connection could not be begun, for a reason of this machine's. */
-    LOCAL_FAILURE("local_failure"),
-    /** No descriptor is left for one more connection. */
+    /**
+     * This machine has no descriptor, port or buffer left for one more connection, or no route for
+     * it.
+     */
     NO_DESCRIPTOR("no_room"),
     /** It broke before the last byte of the attempt was written. */
     BROKEN_BEFORE_SENT("broke_unsent"),
@@ -69,7 +70,7 @@
             case TIMED_OUT -> Outcome.TIMED_OUT;
             // What this machine lacks is ours: held against workers it would eject one after the
             // other.
-            case NOT_SENT, NO_DESCRIPTOR, LOCAL_FAILURE -> Outcome.NOT_SENT;
+            case NOT_SENT, NO_DESCRIPTOR -> Outcome.NOT_SENT;
         };
     }
 }
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPool.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPool.java
@@ -144,7 +144,7 @@
         }
         boolean byTheWorker =
                 cause instanceof ConnectException || cause instanceof NoRouteToHostException;
-        return byTheWorker ? AttemptResult.CONNECTION_REFUSED : AttemptResult.LOCAL_FAILURE;
+        return byTheWorker ? AttemptResult.CONNECTION_REFUSED : AttemptResult.NO_DESCRIPTOR;
     }
 
     /** The connection can be used again. */
