--- a/review/lib/Dispatcher.java
+++ b/review/lib/Dispatcher.java
@@ -18,22 +18,16 @@
     private final RunRecord record;
     private final Path log;
 
-    Dispatcher(RunRecord record, Path root, Path temporary, String name, InetSocketAddress listen, String config)
-            throws IOException {
-        this(record, root, temporary, name, listen, config, name);
-    }
-
-    /** Starts a process; the label tells it from others of the same name. */
+    /** Starts a process with the configuration. */
     Dispatcher(
-            RunRecord record, Path root, Path temporary, String name, InetSocketAddress listen, String config,
-            String label)
+            RunRecord record, Path root, Path temporary, String name, InetSocketAddress listen, String config)
             throws IOException {
         this.record = record;
         this.name = name;
         this.listen = listen;
-        Path file = temporary.resolve(label + ".json");
+        Path file = temporary.resolve(name + ".json");
         Files.writeString(file, config);
-        log = temporary.resolve(label + ".log");
+        log = temporary.resolve(name + ".log");
         Path shared = Files.createDirectories(temporary.resolve("tmp-" + name));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runLine(root));
         builder.directory(root.toFile());
@@ -44,7 +38,7 @@
         }
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
         process = builder.start();
-        record.line(label, "started as process %d with %s", process.pid(), Stand.shorten(config, 3000));
+        record.line(name, "started as process %d with %s", process.pid(), Stand.shorten(config, 3000));
         synchronized (ALL) {
             ALL.add(this);
         }
@@ -89,34 +83,6 @@
         throw new IOException("the dispatcher is not ready after 30 s");
     }
 
-    /** Sends a signal to the process by its id. */
-    void signal(String signal) throws Exception {
-        record.line(name, "gets SIG%s (process %d)", signal, process.pid());
-        new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
-    }
-
-    /** Resident memory of the process in megabytes. */
-    double residentMb() {
-        return statusMb("VmRSS:");
-    }
-
-    double peakMb() {
-        return statusMb("VmHWM:");
-    }
-
-    private double statusMb(String key) {
-        try {
-            for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
-                if (line.startsWith(key)) {
-                    return Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1024;
-                }
-            }
-        } catch (IOException e) {
-            // The process has ended.
-        }
-        return Double.NaN;
-    }
-
     static void endAll() {
         synchronized (ALL) {
             for (Dispatcher dispatcher : ALL) {
--- a/review/lib/Worker.java
+++ b/review/lib/Worker.java
@@ -141,11 +141,6 @@
             }
             write("\r\n0\r\n\r\n");
         }
-
-        void failed() throws IOException {
-            line(head() + "\"failed\"}");
-            write("0\r\n\r\n");
-        }
     }
 
     /** Returns the work of a sound worker, which tells the start and then the result. */
