Count the memory of responses, so that answers in parts do not end the process

Cause: the beginning of a worker's line was kept, up to 64 KiB a connection, and counted nowhere; DescriptorBudget permits some 190 such connections in a heap of 16 MB. Evidence: the same load with answers in one piece is served; the process ends about when 150 first parts have come. The same omission: responses that clients don't read, and bodies of requests whose client has gone.

Change: net.memory.HeapBudget divides the heap in one place. A line of over 1 KiB reserves the largest size of a line from ResponseMemory or waits unread for its turn, so lines cannot starve each other; a response counts until its client has read it (10 s without a byte read end the connection); a body is released once no attempt can be sent any more. Reserving for each attempt would have rejected usual clients whose answers are short.

--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -35,6 +35,9 @@
 
     private boolean hasAcceptedRequest;
 
+    /** Memory that is reserved for the response that is being written. */
+    private int unwrittenBytes;
+
     /** Whether the connection is over the limit, so that its requests are rejected. */
     private boolean isOverLimit;
 
@@ -52,9 +55,7 @@
     ClientConnection(EndPoint endPoint, EventLoop loop, ClientServer server) {
         super(endPoint, loop);
         this.server = server;
-        input =
-                new MessageInput(
-                        loop, server.bodyQuota(), server.pipelinedQuota(), this::onMessageTimeout);
+        input = new MessageInput(loop, server.heapBudget(), this::onMessageTimeout);
     }
 
     @Override
@@ -224,13 +225,27 @@
         boolean isLast = isLastMessage || server.closesAfterResponse();
         Callback written =
                 Callback.from(
-                        () -> loop.post(() -> onResponseWritten(isLast)),
+                        () -> {
+                            releaseUnwritten();
+                            loop.post(() -> onResponseWritten(isLast));
+                        },
                         cause -> loop.post(this::onClientGone));
+        unwrittenBytes = response.body().length;
+        server.heapBudget().responses().reserveBytes(unwrittenBytes);
         getEndPoint().write(written, response.encode(isLast));
+        if (unwrittenBytes > 0) {
+            getEndPoint().setIdleTimeout(ClientServer.WRITE_TIMEOUT_MILLIS);
+        }
+    }
+
+    private void releaseUnwritten() {
+        server.heapBudget().responses().releaseBytes(unwrittenBytes);
+        unwrittenBytes = 0;
     }
 
     private void onResponseWritten(boolean isLast) {
         state = State.READING;
+        getEndPoint().setIdleTimeout(ClientServer.IDLE_TIMEOUT_MILLIS);
         if (!getEndPoint().isOpen()) {
             return;
         }
@@ -357,6 +372,7 @@
     private void release() {
         input.releaseBody();
         input.releaseBuffer();
+        releaseUnwritten();
         server.onClosed(this);
     }
 }
--- a/daemon/src/main/java/wheelroute/net/clients/ClientRequestDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientRequestDecoder.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import wheelroute.net.http.HttpMessageReader;
+import wheelroute.net.memory.MemoryQuota;
 import wheelroute.units.TimeUnits;
 
 /**
--- a/daemon/src/main/java/wheelroute/net/clients/ClientServer.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientServer.java
@@ -9,11 +9,13 @@
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import wheelroute.net.loop.EventLoop;
+import wheelroute.net.memory.HeapBudget;
 import wheelroute.net.metrics.Counters;
 
 /**
  * The HTTP server for clients. Owns the listening socket, the connections accepted on the socket
- * within a limit, and the memory that the connections share. Used on the event loop's thread only.
+ * within a limit, and the share of the connections in the memory. Used on the event loop's thread
+ * only.
  */
 public final class ClientServer implements EventLoop.ChannelHandler {
     /**
@@ -25,19 +27,13 @@
     /**
      * Time after which an idle connection is closed, as its client may have disconnected unnoticed.
      */
-    private static final long IDLE_TIMEOUT_MILLIS = 120_000;
+    static final long IDLE_TIMEOUT_MILLIS = 120_000;
 
     /**
-     * Fraction of the heap for the bodies of requests. What is derived from the bodies takes as
-     * much memory again.
+     * Time after which a connection is closed whose client reads nothing of its response, because
+     * the response occupies memory that other requests need.
      */
-    private static final double BODIES_HEAP_FRACTION = 0.25;
-
-    /** Fraction of the heap for pipelined input, whose quota is separate from that for bodies. */
-    private static final double PIPELINED_HEAP_FRACTION = 0.06;
-
-    /** Maximum memory for pipelined input on a large heap, enough for 16 full buffers. */
-    private static final long MAX_PIPELINED_BYTES = 16L * PipelinedInput.MAX_BYTES;
+    static final long WRITE_TIMEOUT_MILLIS = 10_000;
 
     private final EventLoop loop;
     private final RequestAcceptor acceptor;
@@ -47,25 +43,26 @@
     private final int dispatcherLimit;
 
     private final ConnectionLimit<ClientConnection> connections;
-    private final MemoryQuota bodyQuota =
-            new MemoryQuota((long) (BODIES_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
-    private final MemoryQuota pipelinedQuota =
-            new MemoryQuota(
-                    Math.min(
-                            MAX_PIPELINED_BYTES,
-                            (long) (PIPELINED_HEAP_FRACTION * Runtime.getRuntime().maxMemory())));
+    private final HeapBudget heapBudget;
     private ServerSocketChannel server;
     private boolean isListening;
 
     /**
      * Creates a server that does not listen yet.
      *
+     * @param heapBudget limits the memory of all connections
      * @param limit the maximum number of connections of all processes of the dispatcher together
      */
-    public ClientServer(EventLoop loop, RequestAcceptor acceptor, Counters counters, int limit) {
+    public ClientServer(
+            EventLoop loop,
+            RequestAcceptor acceptor,
+            Counters counters,
+            HeapBudget heapBudget,
+            int limit) {
         this.loop = loop;
         this.acceptor = acceptor;
         this.counters = counters;
+        this.heapBudget = heapBudget;
         dispatcherLimit = limit;
         connections = new ConnectionLimit<>(limit);
     }
@@ -141,12 +138,8 @@
         connections.update(connection, stage, loop.now());
     }
 
-    MemoryQuota bodyQuota() {
-        return bodyQuota;
-    }
-
-    MemoryQuota pipelinedQuota() {
-        return pipelinedQuota;
+    HeapBudget heapBudget() {
+        return heapBudget;
     }
 
     /** Removes a connection; does nothing if it was already removed. */
--- a/daemon/src/main/java/wheelroute/net/clients/MessageInput.java
+++ b/daemon/src/main/java/wheelroute/net/clients/MessageInput.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import wheelroute.net.loop.EventLoop;
+import wheelroute.net.memory.HeapBudget;
 
 /**
  * The input side of a client's connection. Decodes one message at a time, for which it sets a time
@@ -29,15 +30,13 @@
     /**
      * Creates the input of a new connection.
      *
-     * @param bodyQuota limits the memory for the bodies of all connections
-     * @param pipelinedQuota limits the memory for the pipelined input of all connections
+     * @param heapBudget limits the memory for the input of all connections
      * @param onTimeout called when a message has not arrived completely within the time limit
      */
-    MessageInput(
-            EventLoop loop, MemoryQuota bodyQuota, MemoryQuota pipelinedQuota, Runnable onTimeout) {
+    MessageInput(EventLoop loop, HeapBudget heapBudget, Runnable onTimeout) {
         this.loop = loop;
-        decoder = new ClientRequestDecoder(bodyQuota);
-        pipelined = new PipelinedInput(pipelinedQuota);
+        decoder = new ClientRequestDecoder(heapBudget.requestBodies());
+        pipelined = new PipelinedInput(heapBudget.pipelinedInput());
         timeout = new MessageTimeout(loop, onTimeout);
     }
 
--- a/daemon/src/main/java/wheelroute/net/clients/PipelinedInput.java
+++ b/daemon/src/main/java/wheelroute/net/clients/PipelinedInput.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import wheelroute.net.memory.MemoryQuota;
 
 /**
  * Buffers the input that arrives on a connection before the previous request has been answered.
--- a/daemon/src/main/java/wheelroute/net/clients/RequestBody.java
+++ b/daemon/src/main/java/wheelroute/net/clients/RequestBody.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import org.eclipse.jetty.http.HttpStatus;
+import wheelroute.net.memory.MemoryQuota;
 
 /**
  * The body of the request that is being decoded. The memory for the body is reserved from a quota
--- a/daemon/src/main/java/wheelroute/net/lifecycle/Service.java
+++ b/daemon/src/main/java/wheelroute/net/lifecycle/Service.java
@@ -13,6 +13,7 @@
 import wheelroute.net.handover.Handover;
 import wheelroute.net.loop.Clock;
 import wheelroute.net.loop.EventLoop;
+import wheelroute.net.memory.HeapBudget;
 import wheelroute.net.metrics.Counters;
 import wheelroute.net.metrics.Gauges;
 import wheelroute.net.workers.WorkerConnectionPools;
@@ -27,6 +28,7 @@
     private final Config config;
     private final EventLoop loop;
     private final Counters counters;
+    private final HeapBudget heapBudget;
     private final WorkerConnectionPools workers;
     private final ConfigReload reload;
 
@@ -56,8 +58,14 @@
 
     /** Creates a service on a given event loop, with which a test can delay events. */
     public Service(Config config, EventLoop loop) {
+        this(config, loop, HeapBudget.ofProcess());
+    }
+
+    /** Creates a service on a given event loop and with a given budget of memory. */
+    public Service(Config config, EventLoop loop, HeapBudget heapBudget) {
         this.config = config;
         this.loop = loop;
+        this.heapBudget = heapBudget;
         counters =
                 new Counters(
                         config.settings().requestClasses().stream()
@@ -67,6 +75,7 @@
                 new WorkerConnectionPools(
                         loop,
                         counters,
+                        heapBudget.responses(),
                         DescriptorBudget.workerConnections(config),
                         config.idleTimeoutSeconds());
         reload = new ConfigReload(config);
@@ -109,7 +118,7 @@
     private void begin() throws ConfigException {
         components =
                 new ServiceComponents(
-                        config, loop, counters, workers, this, new HandoverListener());
+                        config, loop, counters, heapBudget, workers, this, new HandoverListener());
         if (components.handover == null) {
             listen();
         } else {
--- a/daemon/src/main/java/wheelroute/net/lifecycle/ServiceComponents.java
+++ b/daemon/src/main/java/wheelroute/net/lifecycle/ServiceComponents.java
@@ -13,6 +13,7 @@
 import wheelroute.net.discovery.EndpointWatch;
 import wheelroute.net.handover.Handover;
 import wheelroute.net.loop.EventLoop;
+import wheelroute.net.memory.HeapBudget;
 import wheelroute.net.metrics.Counters;
 import wheelroute.net.peers.MembershipService;
 import wheelroute.net.requests.RequestDispatcher;
@@ -52,6 +53,7 @@
             Config config,
             EventLoop loop,
             Counters counters,
+            HeapBudget heapBudget,
             WorkerConnectionPools workers,
             ServiceStatus status,
             Handover.Listener handoverListener)
@@ -65,7 +67,11 @@
         dispatcher.setWatch(newWatch(config.discovery(), importCachedEndpoints()));
         clients =
                 new ClientServer(
-                        loop, dispatcher, counters, DescriptorBudget.clientConnections(config));
+                        loop,
+                        dispatcher,
+                        counters,
+                        heapBudget,
+                        DescriptorBudget.clientConnections(config));
         dispatcher.setClients(clients);
         admin = config.admin() == null ? null : openAdminServer(status);
         handover = config.handoverDirectory() == null ? null : newHandover(handoverListener);
--- a/daemon/src/main/java/wheelroute/net/loop/EventLoop.java
+++ b/daemon/src/main/java/wheelroute/net/loop/EventLoop.java
@@ -33,6 +33,12 @@
     /** The maximum number of bytes that one read returns; large enough for most messages. */
     private static final int READ_BUFFER_BYTES = 16 * 1024;
 
+    /**
+     * The maximum number of bytes that one read returns on a connection whose memory is limited;
+     * large enough for short messages.
+     */
+    private static final int SMALL_READ_BUFFER_BYTES = 2 * 1024;
+
     /**
      * Size of the buffer for checking whether a connection is still open. Such a check mostly finds
      * no bytes or the end of the stream.
@@ -84,6 +90,7 @@
     private final TimerQueue timers;
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private final ByteBuffer readBuffer = BufferUtil.allocateDirect(READ_BUFFER_BYTES);
+    private final ByteBuffer smallReadBuffer = BufferUtil.allocateDirect(SMALL_READ_BUFFER_BYTES);
     private final ByteBuffer scratchBuffer = BufferUtil.allocate(SCRATCH_BUFFER_BYTES);
     private Thread thread;
 
@@ -199,6 +206,15 @@
         return readBuffer;
     }
 
+    /**
+     * Returns an empty buffer that all connections share like {@link #readBuffer}, for those that
+     * must not read much at once.
+     */
+    public ByteBuffer smallReadBuffer() {
+        BufferUtil.clear(smallReadBuffer);
+        return smallReadBuffer;
+    }
+
     /**
      * Returns an empty buffer for checking one connection while the bytes of another are still in
      * {@link #readBuffer}.
--- a/daemon/src/main/java/wheelroute/net/loop/LineBuffer.java
+++ b/daemon/src/main/java/wheelroute/net/loop/LineBuffer.java
@@ -40,18 +40,23 @@
     /** Returns and removes the beginning of an incomplete line; empty if there is none. */
     public byte[] takeBuffered() {
         byte[] bytes = line.toByteArray();
-        // reset() would keep an array as long as the connection's longest line.
-        line = new ByteArrayOutputStream();
+        clear();
         return bytes;
     }
 
     /** Removes the beginning of an incomplete line. */
     public void clear() {
-        line.reset();
+        // reset() would keep an array as long as the connection's longest line.
+        line = new ByteArrayOutputStream();
     }
 
     /** Whether the buffer holds no beginning of an incomplete line. */
     public boolean isEmpty() {
         return line.size() == 0;
     }
+
+    /** Returns the number of bytes of an incomplete line that the buffer holds. */
+    public int bufferedBytes() {
+        return line.size();
+    }
 }
--- a/daemon/src/main/java/wheelroute/net/loop/StreamConnection.java
+++ b/daemon/src/main/java/wheelroute/net/loop/StreamConnection.java
@@ -37,6 +37,18 @@
         return true;
     }
 
+    /** Returns the empty buffer for the next read, whose capacity limits what is read at once. */
+    protected ByteBuffer readBuffer() {
+        return loop.readBuffer();
+    }
+
+    /** Continues reading, if {@link #canRead} permits it again. */
+    protected final void resumeReading() {
+        if (getEndPoint().isOpen() && !isFillInterested()) {
+            onFillable();
+        }
+    }
+
     /**
      * Processes bytes that have arrived. The buffer is reused after this method returns.
      *
@@ -67,7 +79,7 @@
                     fillInterested();
                     return;
                 }
-                ByteBuffer in = loop.readBuffer();
+                ByteBuffer in = readBuffer();
                 int count = getEndPoint().fill(in);
                 if (count > 0) {
                     onBytes(in);
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
@@ -0,0 +1,58 @@
+package wheelroute.net.memory;
+
+/**
+ * Divides the heap among the data that the process buffers for other programs. What is left, more
+ * than half of the heap, is for everything else: classes, connections, the endpoint list, the state
+ * of requests, and what is derived from bodies while they are decoded.
+ *
+ * <p>Used on the event loop's thread only.
+ */
+public final class HeapBudget {
+    /** What is derived from the bodies takes as much memory again. */
+    private static final double REQUEST_BODIES_FRACTION = 0.25;
+
+    private static final double PIPELINED_INPUT_FRACTION = 0.06;
+    private static final double RESPONSES_FRACTION = 0.12;
+
+    /** Maximum memory for pipelined input on a large heap. */
+    private static final long MAX_PIPELINED_INPUT_BYTES = 4L * 1024 * 1024;
+
+    private final MemoryQuota requestBodies;
+    private final MemoryQuota pipelinedInput;
+    private final ResponseMemory responses;
+
+    /**
+     * Creates a budget without any reservations.
+     *
+     * @param heapBytes the maximum size of the heap
+     */
+    public HeapBudget(long heapBytes) {
+        requestBodies = new MemoryQuota((long) (REQUEST_BODIES_FRACTION * heapBytes));
+        pipelinedInput =
+                new MemoryQuota(
+                        Math.min(
+                                MAX_PIPELINED_INPUT_BYTES,
+                                (long) (PIPELINED_INPUT_FRACTION * heapBytes)));
+        responses = new ResponseMemory((long) (RESPONSES_FRACTION * heapBytes));
+    }
+
+    /** Returns the budget of this process. */
+    public static HeapBudget ofProcess() {
+        return new HeapBudget(Runtime.getRuntime().maxMemory());
+    }
+
+    /** Returns the quota for the bodies of requests, from their arrival to the final response. */
+    public MemoryQuota requestBodies() {
+        return requestBodies;
+    }
+
+    /** Returns the quota for input behind requests that have not been answered yet. */
+    public MemoryQuota pipelinedInput() {
+        return pipelinedInput;
+    }
+
+    /** Returns the memory for responses, from their arrival to the client's last byte. */
+    public ResponseMemory responses() {
+        return responses;
+    }
+}
--- a/daemon/src/main/java/wheelroute/net/clients/MemoryQuota.java
+++ b/daemon/src/main/java/wheelroute/net/memory/MemoryQuota.java
@@ -1,8 +1,8 @@
-package wheelroute.net.clients;
+package wheelroute.net.memory;
 
 /**
- * Limits the total memory that the messages of all clients occupy. Used on the event loop's thread
- * only.
+ * Limits the memory that one kind of data occupies on all connections together. Used on the event
+ * loop's thread only.
  */
 public final class MemoryQuota {
     private final long limitBytes;
@@ -18,24 +18,24 @@
     }
 
     /** Reserves bytes unless that would exceed the limit; returns whether they were reserved. */
-    boolean tryReserve(int bytes) {
+    public boolean tryReserve(int bytes) {
         boolean fits = reservedBytes + bytes <= limitBytes;
         reservedBytes += fits ? bytes : 0;
         return fits;
     }
 
     /** Reserves bytes even over the limit, since they are for input that was already read. */
-    void reserve(int bytes) {
+    public void reserve(int bytes) {
         reservedBytes += bytes;
     }
 
     /** Whether the reserved bytes have reached the limit. */
-    boolean isFull() {
+    public boolean isFull() {
         return reservedBytes >= limitBytes;
     }
 
     /** Returns reserved bytes to the quota. */
-    void release(int bytes) {
+    public void release(int bytes) {
         reservedBytes -= bytes;
     }
 }
--- a/daemon/src/main/java/wheelroute/net/requests/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/requests/Exchange.java
@@ -27,7 +27,7 @@
 
     private final RequestDispatcher dispatcher;
     private final Request request;
-    private final AttemptRequest attemptRequest;
+    private AttemptRequest attemptRequest;
     private final RequestAcceptor.ResponseSender client;
     private final List<Attempt> attempts = new ArrayList<>(TYPICAL_ATTEMPTS);
     private final EventLoop.Timer deadlineTimer;
@@ -133,7 +133,9 @@
     void startAttempt(Ids.Worker worker) {
         Attempt attempt = new Attempt(attempts.size());
         attempts.add(attempt);
-        if (dispatcher.hasDrainEnded() || (!beingAccepted && checkClientGone())) {
+        if (dispatcher.hasDrainEnded()
+                || answeredOrAbandoned
+                || (!beingAccepted && checkClientGone())) {
             attempt.onEnded(AttemptResult.NOT_SENT, AttemptListener.NO_RESULT, Double.NaN);
         } else {
             dispatcher.counters().count(Counters.Counter.ATTEMPTS);
@@ -171,6 +173,7 @@
     /** Records that no response is due any more, and cancels the attempts not yet written. */
     private void markAnsweredOrAbandoned() {
         answeredOrAbandoned = true;
+        attemptRequest = attemptRequest.withoutBody();
         dispatcher.onNoLongerPending();
         // The removal is a separate event because the current event may belong to another request.
         // In that case nothing else would remove this request.
--- a/daemon/src/main/java/wheelroute/net/workers/AttemptRequest.java
+++ b/daemon/src/main/java/wheelroute/net/workers/AttemptRequest.java
@@ -23,6 +23,17 @@
         String routeKey,
         byte[] body,
         boolean atMostOnce) {
+    private static final byte[] NO_BODY = {};
+
+    /**
+     * Returns this request without its body, which occupies memory and is not needed once no
+     * attempt can be sent any more.
+     */
+    public AttemptRequest withoutBody() {
+        return new AttemptRequest(
+                method, target, id, idempotencyKey, routeKey, NO_BODY, atMostOnce);
+    }
+
     /**
      * Encodes the HTTP request.
      *
--- a/daemon/src/main/java/wheelroute/net/workers/AttemptResponseDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/workers/AttemptResponseDecoder.java
@@ -2,12 +2,12 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpStatus;
 import wheelroute.net.http.MalformedResponseException;
 import wheelroute.net.http.ResponseParser;
 import wheelroute.net.loop.LineBuffer;
+import wheelroute.net.memory.ResponseMemory;
 
 /**
  * Decodes the responses to the attempts on one connection.
@@ -34,11 +34,8 @@
         void onComplete(boolean keepsOpen);
     }
 
-    /** The maximum length of a line, by which the protocol limits the result in the line. */
-    private static final int MAX_LINE_BYTES = 64 * 1024;
-
     private final ResponseParser parser = new ResponseParser(this);
-    private final LineBuffer lines = new LineBuffer(MAX_LINE_BYTES);
+    private final LineBuffer lines = new LineBuffer(ResponseMemory.MAX_LINE_BYTES);
     private final Listener listener;
 
     /** ID of the request whose attempt awaits its response. */
@@ -70,6 +67,11 @@
         return hasStatusLines;
     }
 
+    /** Returns the number of bytes of an incomplete line that the decoder holds. */
+    int bufferedBytes() {
+        return lines.bufferedBytes();
+    }
+
     /**
      * Decodes the bytes of a response.
      *
@@ -129,16 +131,18 @@
 
     @Override
     public void onContent(ByteBuffer bytes) throws IOException {
-        if (hasStatusLines) {
-            for (byte[] line = lines.next(bytes); line != null; line = lines.next(bytes)) {
-                onLine(line);
+        while (hasStatusLines && !ended) {
+            byte[] line = lines.next(bytes);
+            if (line == null) {
+                break;
             }
+            onLine(line);
         }
         bytes.position(bytes.limit());
     }
 
     private void onLine(byte[] bytes) throws IOException {
-        if (ended || new String(bytes, StandardCharsets.UTF_8).isBlank()) {
+        if (isBlank(bytes)) {
             return;
         }
         WorkerStatusLine line = WorkerStatusLine.decode(bytes);
@@ -159,6 +163,15 @@
         }
     }
 
+    private static boolean isBlank(byte[] line) {
+        for (byte b : line) {
+            if (!Character.isWhitespace(b)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void finishSuccessfully(WorkerStatusLine line) throws MalformedResponseException {
         if (line.result() == null) {
             throw new MalformedResponseException(
@@ -178,7 +191,7 @@
 
     @Override
     public void onComplete(boolean keepsOpen) throws IOException {
-        if (hasStatusLines && !lines.isEmpty()) {
+        if (hasStatusLines && !ended && !lines.isEmpty()) {
             // The last line may end without a line feed.
             onLine(lines.takeBuffered());
         }
--- a/daemon/src/main/java/wheelroute/net/workers/InFlightAttempt.java
+++ b/daemon/src/main/java/wheelroute/net/workers/InFlightAttempt.java
@@ -4,7 +4,7 @@
 
 /** An attempt from its start to its end. Used on the event loop's thread only. */
 public final class InFlightAttempt {
-    private final AttemptRequest request;
+    private AttemptRequest request;
 
     /** Time at which the attempt must end, in seconds on the event loop's clock. */
     private final double deadline;
@@ -59,6 +59,7 @@
     /** Records that the attempt's last byte has been written. */
     void onWritten() {
         written = true;
+        request = request.withoutBody();
         counters.count(Counters.Counter.ATTEMPTS_WRITTEN);
     }
 
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnection.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.util.Callback;
 import wheelroute.net.loop.EventLoop;
 import wheelroute.net.loop.StreamConnection;
+import wheelroute.net.memory.ResponseMemory;
 
 /**
  * A connection to a worker, which carries one attempt at a time and is kept open between attempts.
@@ -25,6 +26,12 @@
      */
     private static final double QUIESCENCE_SECONDS = 0.1;
 
+    /**
+     * The most of an incomplete line that is read without a reservation of memory. Lines without a
+     * long result are shorter, and need none.
+     */
+    private static final int MAX_UNRESERVED_BYTES = 1024;
+
     private final WorkerConnectionPool pool;
     private final AttemptResponseDecoder decoder = new AttemptResponseDecoder(this);
     private State state = State.IDLE;
@@ -50,6 +57,9 @@
     /** Whether the next response may be a second one to an earlier attempt. */
     private boolean isResponseAmbiguous;
 
+    /** The memory for the long line that is being read; null if there is none. */
+    private ResponseMemory.Reservation reservation;
+
     private enum State {
         /** Open, without an attempt. */
         IDLE,
@@ -107,6 +117,17 @@
         }
     }
 
+    /** While memory for a long line is awaited, its bytes stay unread. */
+    @Override
+    protected boolean canRead() {
+        return reservation == null || reservation.isGranted();
+    }
+
+    @Override
+    protected ByteBuffer readBuffer() {
+        return reservation == null ? loop.smallReadBuffer() : loop.readBuffer();
+    }
+
     @Override
     protected void onBytes(ByteBuffer in) {
         mayBeStale = false;
@@ -117,11 +138,27 @@
         }
         try {
             decoder.decode(in);
+            if (state == State.BUSY && decoder.bufferedBytes() > MAX_UNRESERVED_BYTES) {
+                reserveMemory();
+            }
         } catch (IOException | RuntimeException e) {
             onFailure(AttemptResult.PROTOCOL_ERROR);
         }
     }
 
+    private void reserveMemory() {
+        if (reservation == null) {
+            reservation = pool.responseMemory().reserveLine(() -> loop.post(this::resumeReading));
+        }
+    }
+
+    private void releaseMemory() {
+        if (reservation != null) {
+            reservation.release();
+            reservation = null;
+        }
+    }
+
     @Override
     protected void onEndOfStream() throws IOException {
         decoder.onEndOfStream();
@@ -170,6 +207,7 @@
             // it cannot overlap the next attempt.
             close();
         }
+        releaseMemory();
         attempt.end(result, body, freeSlots);
     }
 
@@ -202,12 +240,17 @@
     public void close() {
         state = State.CLOSED;
         super.close();
-        pool.onClosed(this);
+        release();
     }
 
     @Override
     public void onClose(Throwable cause) {
         super.onClose(cause);
+        release();
+    }
+
+    private void release() {
+        releaseMemory();
         pool.onClosed(this);
     }
 }
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPool.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPool.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import wheelroute.config.SocketAddresses;
 import wheelroute.net.loop.EventLoop;
+import wheelroute.net.memory.ResponseMemory;
 
 /** The connections to one worker. Used on the event loop's thread only. */
 final class WorkerConnectionPool {
@@ -54,6 +55,11 @@
         return address.equals(listed) && Double.compare(startedAt, listedStart) == 0;
     }
 
+    /** Returns the memory for responses that arrive in parts. */
+    ResponseMemory responseMemory() {
+        return pools.responseMemory();
+    }
+
     /** Returns the value of the header field Host. */
     String host() {
         return SocketAddresses.format(address);
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPools.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPools.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import wheelroute.decision.Ids;
 import wheelroute.net.loop.EventLoop;
+import wheelroute.net.memory.ResponseMemory;
 import wheelroute.net.metrics.Counters;
 import wheelroute.units.TimeUnits;
 
@@ -24,6 +25,7 @@
 
     private final EventLoop loop;
     private final Counters counters;
+    private final ResponseMemory responseMemory;
 
     /** Maximum number of open connections of all processes of this dispatcher together. */
     private final int dispatcherLimit;
@@ -43,13 +45,19 @@
     /**
      * Creates an instance without workers.
      *
+     * @param responseMemory the memory for responses that arrive in parts
      * @param limit maximum number of open connections
      * @param workerIdleTimeoutSeconds time after which workers close an idle connection
      */
     public WorkerConnectionPools(
-            EventLoop loop, Counters counters, int limit, double workerIdleTimeoutSeconds) {
+            EventLoop loop,
+            Counters counters,
+            ResponseMemory responseMemory,
+            int limit,
+            double workerIdleTimeoutSeconds) {
         this.loop = loop;
         this.counters = counters;
+        this.responseMemory = responseMemory;
         dispatcherLimit = limit;
         this.limit = limit;
         double idleTimeoutSeconds = IDLE_TIMEOUT_FRACTION * workerIdleTimeoutSeconds;
@@ -140,6 +148,10 @@
         openConnections--;
     }
 
+    ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     /** Returns the time after which this dispatcher closes an idle connection. */
     long idleTimeoutMillis() {
         return idleTimeoutMillis;
--- a/daemon/src/test/java/wheelroute/DispatcherProcess.java
+++ b/daemon/src/test/java/wheelroute/DispatcherProcess.java
@@ -20,6 +20,7 @@
     private static final Pattern ADMIN_LINE =
             Pattern.compile("admin server listening on .*:(\\d+)$");
 
+    private static final int DEFAULT_HEAP_MEGABYTES = 96;
     private static final int START_TIMEOUT_SECONDS = 20;
 
     private final Process process;
@@ -38,6 +39,11 @@
      */
     static ProcessBuilder builder(Path directory, String config, int descriptors)
             throws IOException {
+        return builder(directory, config, descriptors, DEFAULT_HEAP_MEGABYTES);
+    }
+
+    private static ProcessBuilder builder(
+            Path directory, String config, int descriptors, int heapMegabytes) throws IOException {
         Path file = directory.resolve("config.json");
         Files.writeString(file, config);
         List<String> command =
@@ -45,7 +51,8 @@
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
-                        "-Xmx96m",
+                        "-Xmx" + heapMegabytes + "m",
+                        "-XX:+ExitOnOutOfMemoryError",
                         "-cp",
                         System.getProperty(
                                 "surefire.test.class.path", System.getProperty("java.class.path")),
@@ -67,8 +74,15 @@
     /** Starts a dispatcher process and returns once the process accepts clients. */
     public static DispatcherProcess start(Path directory, String config, int descriptors)
             throws Exception {
+        return start(directory, config, descriptors, DEFAULT_HEAP_MEGABYTES);
+    }
+
+    /** Starts a dispatcher process with a heap of the given size. */
+    public static DispatcherProcess start(
+            Path directory, String config, int descriptors, int heapMegabytes) throws Exception {
         DispatcherProcess dispatcher =
-                new DispatcherProcess(builder(directory, config, descriptors).start());
+                new DispatcherProcess(
+                        builder(directory, config, descriptors, heapMegabytes).start());
         Thread reader = new Thread(dispatcher::readLog, "log");
         reader.setDaemon(true);
         reader.start();
@@ -115,6 +129,10 @@
         return adminPort.join();
     }
 
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
     public String log() {
         return String.join("\n", log);
     }
--- a/daemon/src/test/java/wheelroute/net/clients/ClientRequestDecoderTest.java
+++ b/daemon/src/test/java/wheelroute/net/clients/ClientRequestDecoderTest.java
@@ -17,6 +17,7 @@
 import org.testng.annotations.Test;
 import wheelroute.decision.PolicyHarness;
 import wheelroute.net.http.ResponseParser;
+import wheelroute.net.memory.MemoryQuota;
 import wheelroute.net.workers.AttemptRequest;
 
 public class ClientRequestDecoderTest {
--- a/daemon/src/test/java/wheelroute/net/requests/EndpointDirectoryTest.java
+++ b/daemon/src/test/java/wheelroute/net/requests/EndpointDirectoryTest.java
@@ -12,6 +12,7 @@
 import wheelroute.net.discovery.EndpointList;
 import wheelroute.net.loop.ControlledEventLoop;
 import wheelroute.net.loop.ManualClock;
+import wheelroute.net.memory.ResponseMemory;
 import wheelroute.net.metrics.Counters;
 import wheelroute.net.workers.WorkerConnectionPools;
 
@@ -35,7 +36,8 @@
         Counters counters = new Counters(List.of());
         directory =
                 new EndpointDirectory(
-                        new WorkerConnectionPools(loop, counters, 10, IDLE_SECONDS),
+                        new WorkerConnectionPools(
+                                loop, counters, new ResponseMemory(0), 10, IDLE_SECONDS),
                         new StartTimes(loop));
     }
 
--- a/kit/src/main/java/wheelroute/kit/process/ServerConnection.java
+++ b/kit/src/main/java/wheelroute/kit/process/ServerConnection.java
@@ -6,9 +6,9 @@
 import wheelroute.net.clients.BadRequestException;
 import wheelroute.net.clients.ClientRequest;
 import wheelroute.net.clients.ClientRequestDecoder;
-import wheelroute.net.clients.MemoryQuota;
 import wheelroute.net.loop.EventLoop;
 import wheelroute.net.loop.StreamConnection;
+import wheelroute.net.memory.MemoryQuota;
 
 /**
  * A connection that a stub has accepted. Decodes requests as strictly as the daemon does and
