Notice a client's close whatever input is pending, on its or other connections

Cause: a close is the end of the stream, which is seen only behind all bytes before it. A connection whose request waits was read only while one quota, shared by all connections, had room: sixteen connections could use it up and hide the close of every other client. A client with more than 256 KiB behind its own request hid its own close.

Change: while an accepted request waits, its connection is always read. What does not fit is discarded; complete messages before it are served, the first one that was discarded is answered 503, then the connection is closed. FairShareQuota keeps a share for each connection, and buffers no longer exceed their quota by twice what they need. Clients with one request at a time on a connection have no such input. ResponseWriter takes the writing of responses out of ClientConnection.

--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.EndPoint;
-import org.eclipse.jetty.util.Callback;
 import wheelroute.net.loop.EventLoop;
 import wheelroute.net.loop.StreamConnection;
 
@@ -23,8 +22,15 @@
      */
     private static final double LINGER_SECONDS = 1;
 
+    /**
+     * The most that one check for the end of the stream reads, which exceeds what the operating
+     * system buffers for a connection: a client that sends more is still there.
+     */
+    private static final int MAX_CHECKED_BYTES = 8 * 1024 * 1024;
+
     private final ClientServer server;
     private final MessageInput input;
+    private final ResponseWriter writer;
     private State state = State.READING;
 
     /** The accepted request whose response is awaited; null if there is none. */
@@ -35,9 +41,6 @@
 
     private boolean hasAcceptedRequest;
 
-    /** Memory that is reserved for the response that is being written. */
-    private int unwrittenBytes;
-
     /** Whether the connection is over the limit, so that its requests are rejected. */
     private boolean isOverLimit;
 
@@ -56,6 +59,7 @@
         super(endPoint, loop);
         this.server = server;
         input = new MessageInput(loop, server.heapBudget(), this::onMessageTimeout);
+        writer = new ResponseWriter(endPoint, server.heapBudget().responses());
     }
 
     @Override
@@ -81,8 +85,14 @@
 
     @Override
     protected boolean canRead() {
-        // Between messages input is always read, even if other clients have exhausted the quota.
-        return !isBusy() || !input.isBufferFull();
+        // While an accepted request waits, input is read even if there is no room for it, because
+        // the end of the stream must be noticed.
+        return !isBusy() || accepted != null || !input.isBufferFull();
+    }
+
+    @Override
+    protected ByteBuffer readBuffer() {
+        return input.isMemoryScarce() ? loop.smallReadBuffer() : loop.readBuffer();
     }
 
     @Override
@@ -170,12 +180,13 @@
     /**
      * Reads the input that has arrived, and returns whether the end of the stream was reached.
      * After a pause of the process, a message may come from a client that has disconnected since,
-     * and for which no attempt should be started.
+     * and for which no attempt should be started. The end of the stream can only be seen behind all
+     * input, so input for which there is no room is read too, and discarded.
      */
     private boolean hasReachedEndOfStream() {
         try {
             int count = 1;
-            while (count > 0 && canRead()) {
+            for (int total = 0; count > 0 && total < MAX_CHECKED_BYTES; total += count) {
                 count = readOnce();
             }
             return count < 0;
@@ -223,29 +234,15 @@
             return;
         }
         boolean isLast = isLastMessage || server.closesAfterResponse();
-        Callback written =
-                Callback.from(
-                        () -> {
-                            releaseUnwritten();
-                            loop.post(() -> onResponseWritten(isLast));
-                        },
-                        cause -> loop.post(this::onClientGone));
-        unwrittenBytes = response.body().length;
-        server.heapBudget().responses().reserveBytes(unwrittenBytes);
-        getEndPoint().write(written, response.encode(isLast));
-        if (unwrittenBytes > 0) {
-            getEndPoint().setIdleTimeout(ClientServer.WRITE_TIMEOUT_MILLIS);
-        }
-    }
-
-    private void releaseUnwritten() {
-        server.heapBudget().responses().releaseBytes(unwrittenBytes);
-        unwrittenBytes = 0;
+        writer.write(
+                response,
+                isLast,
+                () -> loop.post(() -> onResponseWritten(isLast)),
+                () -> loop.post(this::onClientGone));
     }
 
     private void onResponseWritten(boolean isLast) {
         state = State.READING;
-        getEndPoint().setIdleTimeout(ClientServer.IDLE_TIMEOUT_MILLIS);
         if (!getEndPoint().isOpen()) {
             return;
         }
@@ -264,11 +261,26 @@
                 input.releaseBuffer();
             }
         }
+        if (state == State.READING && input.hasGap()) {
+            rejectDiscardedInput();
+        }
         if (canRead() && getEndPoint().isOpen() && !isFillInterested()) {
             fillInterested();
         }
     }
 
+    /**
+     * Rejects the first message that was discarded at least in part, after all messages before it
+     * have been answered. Clients that wait for each response before they send the next request are
+     * never affected.
+     */
+    private void rejectDiscardedInput() {
+        sendErrorAndClose(
+                new BadRequestException(
+                        HttpStatus.SERVICE_UNAVAILABLE_503,
+                        "too much input behind a request that was not answered yet"));
+    }
+
     /** Closes the connection after a delay in which the client can read the last response. */
     private void linger() {
         state = State.LINGERING;
@@ -323,11 +335,11 @@
         server.onClosed(this);
         input.abandonMessage();
         state = State.LINGERING;
-        Callback written =
-                Callback.from(() -> loop.post(this::close), cause -> loop.post(this::close));
-        ByteBuffer[] rejection =
-                ClientResponse.rejected(ClientResponse.NO_RETRY_AFTER).encode(true);
-        getEndPoint().write(written, rejection);
+        writer.write(
+                ClientResponse.rejected(ClientResponse.NO_RETRY_AFTER),
+                true,
+                () -> loop.post(this::close),
+                () -> loop.post(this::close));
     }
 
     private void onClientGone() {
@@ -372,7 +384,7 @@
     private void release() {
         input.releaseBody();
         input.releaseBuffer();
-        releaseUnwritten();
+        writer.release();
         server.onClosed(this);
     }
 }
--- a/daemon/src/main/java/wheelroute/net/clients/ClientServer.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientServer.java
@@ -29,12 +29,6 @@
      */
     static final long IDLE_TIMEOUT_MILLIS = 120_000;
 
-    /**
-     * Time after which a connection is closed whose client reads nothing of its response, because
-     * the response occupies memory that other requests need.
-     */
-    static final long WRITE_TIMEOUT_MILLIS = 10_000;
-
     private final EventLoop loop;
     private final RequestAcceptor acceptor;
     private final Counters counters;
--- a/daemon/src/main/java/wheelroute/net/clients/MessageInput.java
+++ b/daemon/src/main/java/wheelroute/net/clients/MessageInput.java
@@ -93,16 +93,29 @@
         return new ReceivedMessage(request, arrivedAt);
     }
 
-    /** Buffers input that arrives before the response to the current message was written. */
+    /**
+     * Buffers input that arrives before the response to the current message was written. Discards
+     * it if the buffer is full.
+     */
     void buffer(ByteBuffer in) {
         pipelined.add(in, loop.earliestArrival());
     }
 
-    /** Whether no more input should be read into the buffer for now. */
+    /** Whether the buffer has no room for more input. */
     boolean isBufferFull() {
         return pipelined.isFull();
     }
 
+    /** Whether little should be read at once, because the memory of all connections is used up. */
+    boolean isMemoryScarce() {
+        return pipelined.isMemoryScarce();
+    }
+
+    /** Whether input was discarded, so that no message can follow the buffered ones. */
+    boolean hasGap() {
+        return pipelined.hasGap();
+    }
+
     /** Whether the buffer contains input that has not been decoded. */
     boolean hasBuffered() {
         return !pipelined.isEmpty();
--- a/daemon/src/main/java/wheelroute/net/clients/PipelinedInput.java
+++ b/daemon/src/main/java/wheelroute/net/clients/PipelinedInput.java
@@ -2,13 +2,17 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import wheelroute.net.memory.MemoryQuota;
+import wheelroute.net.memory.FairShareQuota;
 
 /**
  * Buffers the input that arrives on a connection before the previous request has been answered.
  * Such input is read early because the end of the stream behind it shows that the client has
- * disconnected. Each connection has a limit, and all connections share a quota. The buffer also
- * records when its input arrived, because the timeouts of the requests in it start then.
+ * disconnected. Each connection has a limit, and all connections share a quota, of which each has a
+ * share whatever the others hold. The buffer also records when its input arrived, because the
+ * timeouts of the requests in it start then.
+ *
+ * <p>While the buffer is full, input normally stays unread. Where it must be read nevertheless, to
+ * find the end of the stream, it is discarded, and so is all that follows it.
  *
  * <p>Used on the event loop's thread only.
  */
@@ -19,19 +23,22 @@
     /** Maximum number of recorded arrivals, which limits the memory for many small pieces. */
     private static final int MAX_ARRIVALS = 64;
 
-    /** A few messages of the maximum size. No input is read while the buffer is this full. */
+    /** A few messages of the maximum size. */
     static final int MAX_BYTES = 256 * 1024;
 
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     /** Limits the buffers of all connections together. */
-    private final MemoryQuota quota;
+    private final FairShareQuota quota;
 
     private ByteBuffer buffer = EMPTY;
 
     /** The total number of bytes added since the connection was opened. */
     private long addedBytes;
 
+    /** Whether input was discarded behind the buffered input. */
+    private boolean hasGap;
+
     private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
 
     /**
@@ -42,7 +49,7 @@
      */
     private record Arrival(long end, double at) {}
 
-    PipelinedInput(MemoryQuota quota) {
+    PipelinedInput(FairShareQuota quota) {
         this.quota = quota;
     }
 
@@ -50,13 +57,28 @@
         return !buffer.hasRemaining();
     }
 
-    /** Whether no further input should be read for now. */
+    /** Whether there is no room for further input. */
     boolean isFull() {
-        return buffer.remaining() >= MAX_BYTES || quota.isFull();
+        return buffer.remaining() >= MAX_BYTES || quota.isExhaustedFor(buffer.remaining());
+    }
+
+    /** Whether little should be read at once, because the memory of all connections is used up. */
+    boolean isMemoryScarce() {
+        return quota.isScarce();
     }
 
-    /** Adds all bytes of the input, even if they exceed the limits. */
+    /** Whether input was discarded, so that no message can follow the buffered ones. */
+    boolean hasGap() {
+        return hasGap;
+    }
+
+    /** Adds all bytes of the input, even if they exceed a limit; discards them if it is reached. */
     void add(ByteBuffer in, double arrivedAt) {
+        if (hasGap || isFull()) {
+            hasGap = true;
+            in.position(in.limit());
+            return;
+        }
         recordArrival(in.remaining(), arrivedAt);
         append(in);
     }
@@ -77,8 +99,11 @@
     private void append(ByteBuffer in) {
         int needed = buffer.remaining() + in.remaining();
         if (buffer.capacity() - buffer.position() < needed) {
-            ByteBuffer larger =
-                    ByteBuffer.allocate(Math.max(needed, Math.min(MAX_BYTES, 2 * needed)));
+            int spare = isMemoryScarce() ? 0 : Math.min(needed, Math.max(0, MAX_BYTES - needed));
+            ByteBuffer larger = ByteBuffer.allocate(needed + spare);
+            if (buffer == EMPTY) {
+                quota.addBuffer();
+            }
             quota.reserve(larger.capacity() - buffer.capacity());
             buffer = larger.put(buffer).flip();
         }
@@ -105,7 +130,9 @@
 
     /** Discards all input and returns the memory of the buffer to the quota. */
     void release() {
-        quota.release(buffer.capacity());
+        if (buffer != EMPTY) {
+            quota.removeBuffer(buffer.capacity());
+        }
         buffer = EMPTY;
         arrivals.clear();
     }
--- a/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
+++ b/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
@@ -11,14 +11,14 @@
     /** What is derived from the bodies takes as much memory again. */
     private static final double REQUEST_BODIES_FRACTION = 0.25;
 
-    private static final double PIPELINED_INPUT_FRACTION = 0.06;
+    private static final double PIPELINED_INPUT_FRACTION = 0.1;
     private static final double RESPONSES_FRACTION = 0.12;
 
     /** Maximum memory for pipelined input on a large heap. */
     private static final long MAX_PIPELINED_INPUT_BYTES = 4L * 1024 * 1024;
 
     private final MemoryQuota requestBodies;
-    private final MemoryQuota pipelinedInput;
+    private final FairShareQuota pipelinedInput;
     private final ResponseMemory responses;
 
     /**
@@ -29,7 +29,7 @@
     public HeapBudget(long heapBytes) {
         requestBodies = new MemoryQuota((long) (REQUEST_BODIES_FRACTION * heapBytes));
         pipelinedInput =
-                new MemoryQuota(
+                new FairShareQuota(
                         Math.min(
                                 MAX_PIPELINED_INPUT_BYTES,
                                 (long) (PIPELINED_INPUT_FRACTION * heapBytes)));
@@ -47,7 +47,7 @@
     }
 
     /** Returns the quota for input behind requests that have not been answered yet. */
-    public MemoryQuota pipelinedInput() {
+    public FairShareQuota pipelinedInput() {
         return pipelinedInput;
     }
 
--- a/daemon/src/main/java/wheelroute/net/memory/MemoryQuota.java
+++ b/daemon/src/main/java/wheelroute/net/memory/MemoryQuota.java
@@ -29,11 +29,6 @@
         reservedBytes += bytes;
     }
 
-    /** Whether the reserved bytes have reached the limit. */
-    public boolean isFull() {
-        return reservedBytes >= limitBytes;
-    }
-
     /** Returns reserved bytes to the quota. */
     public void release(int bytes) {
         reservedBytes -= bytes;
