Keep a call to a slow discovery open beside the next one, so that it is answered

After SIGHUP the list of a discovery that takes 1.5 or 1.9 s a call is used 6.0 to 6.5 s after the signal, where 4 s are allowed.

Cause: each call was closed at its timeout (2.3 s; 1.2 s while catching up; 0.9 s after a hold). The timeouts must be short, as a connection may be lost unnoticed and one more call must fit into 6 s; but the close gives up the call's place in the queue of discovery. Expiry of the list is not at fault: silence alone looks like an outage, in which no request would then be served.

Change: a call without any part of a response stays open for 4 s more beside the next one (LateCalls); the first response to any of them proves that the list is current. Calls are made when they were made before. A watch is held for less by what the last call waited in the queue, so that a slow discovery is not called more.

--- a/daemon/src/main/java/wheelroute/net/discovery/CallProgress.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/CallProgress.java
@@ -64,6 +64,16 @@
         return phase != Phase.CONNECTING;
     }
 
+    /** Returns whether a request has been sent and no part of its response has arrived. */
+    boolean awaitsResponse() {
+        return phase == Phase.WAITING;
+    }
+
+    /** Returns how long discovery may hold the call, in seconds; 0 if it may not. */
+    double holdSeconds() {
+        return holdSeconds;
+    }
+
     /** Returns whether discovery may hold the call until a change. */
     boolean isHeld() {
         return holdSeconds != 0;
--- a/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
@@ -93,11 +93,17 @@
                 progress.durationSeconds());
     }
 
+    /** Returns whether a call that failed in this way may only be late. */
+    boolean mayBeAnsweredLate(CallFailure.Kind kind) {
+        return kind == CallFailure.Kind.NO_RESPONSE && progress.awaitsResponse();
+    }
+
     CallProgress progress() {
         return progress;
     }
 
-    private void restartTimeout(double seconds) {
+    /** Makes the call time out after this time from now, instead of when it would have. */
+    void restartTimeout(double seconds) {
         cancelTimeout();
         timeout =
                 loop.schedule(
@@ -180,10 +186,13 @@
 
     @Override
     public void onComplete(boolean keepsOpen) throws IOException {
-        boolean hasChanges = watch.onResponse(body.toByteArray());
+        boolean hasChanges = watch.onResponse(this, body.toByteArray());
         answeredBefore = true;
-        double delay =
-                watch.callPolicy().delayAfterResponse(hasChanges, progress.durationSeconds());
+        DiscoveryCallPolicy policy = watch.callPolicy();
+        if (!hasChanges || !progress.isHeld()) {
+            policy.onQueueWait(progress.durationSeconds() - progress.holdSeconds());
+        }
+        double delay = policy.delayAfterResponse(hasChanges, progress.durationSeconds());
         if (delay > 0) {
             cancelTimeout();
             loop.schedule(delay, () -> callAgain(keepsOpen));
@@ -217,7 +226,7 @@
 
         @Override
         protected boolean canRead() {
-            return watch.isCurrent(DiscoveryCall.this);
+            return watch.awaitsResponse(DiscoveryCall.this);
         }
 
         @Override
--- a/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCallPolicy.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCallPolicy.java
@@ -15,7 +15,8 @@
  * <table>
  *   <caption>Calls by state</caption>
  *   <tr><th>state</th><th>hold</th><th>timeout</th><th>delay after a failure</th></tr>
- *   <tr><td>steady</td><td>3 to 3.6 s</td><td>the hold time plus 0.9 s</td>
+ *   <tr><td>steady</td><td>3 to 3.6 s, less what the last call waited in the queue of
+ *       discovery</td><td>3.9 to 4.5 s</td>
  *       <td>none if a working connection was lost or a held call timed out, else backoff</td></tr>
  *   <tr><td>recovering</td><td>none</td><td>2.3 s</td><td>backoff</td></tr>
  *   <tr><td>catching up</td><td>none</td><td>1.2 s, in a large fleet 2.3 s</td><td>0.2 s</td></tr>
@@ -23,6 +24,9 @@
  *       <td>backoff, limited to the call rate that the fleet may use</td></tr>
  * </table>
  *
+ * <p>A call that times out without any part of a response may still be answered within 4 s, while
+ * the next call is made as usual; see {@link LateCalls}.
+ *
  * <p>If the list is pushed, the delay after a failure is 0.2 s in each state.
  *
  * <p>Times are in seconds. Confined to the event loop's thread.
@@ -50,6 +54,17 @@
     /** A response that has begun must be complete within this time. */
     private static final double COMPLETE_RESPONSE_TIMEOUT_SECONDS = 3;
 
+    /** Shorter waits in the queue of discovery are within the timeouts, and are not counted. */
+    private static final double MIN_QUEUE_WAIT_SECONDS = HOLD_OVERRUN_TIMEOUT_SECONDS / 2;
+
+    /**
+     * How long a call may be answered after it has timed out. A slow discovery may leave a call in
+     * its queue for longer than the timeouts here, which leave time for another call in case a
+     * connection was lost. A later response would come after the time at which changes count as
+     * known.
+     */
+    private static final double LATE_RESPONSE_TIMEOUT_SECONDS = 4;
+
     /**
      * A response without changes is early if it arrives after less than this fraction of the hold
      * time.
@@ -108,6 +123,9 @@
 
     private boolean lastCallFailed;
 
+    /** How long the last call waited in the queue of discovery, or 0 if that was short. */
+    private double queueWaitSeconds;
+
     DiscoveryCallPolicy(EventLoop loop, EndpointWatch.WatchOptions options) {
         this.loop = loop;
         listIsPushed = options.listIsPushed();
@@ -152,6 +170,14 @@
         backoff.reset();
     }
 
+    /**
+     * Records how long an answered call took in addition to the time for which it was held. The
+     * next held call is held for less by as much, so that it neither times out nor takes longer.
+     */
+    void onQueueWait(double seconds) {
+        queueWaitSeconds = seconds < MIN_QUEUE_WAIT_SECONDS ? 0 : seconds;
+    }
+
     /** Records a failed call; {@link #delayAfterFailure} then returns the delay after it. */
     void onFailure(CallFailure failure) {
         lastCallFailed = true;
@@ -200,7 +226,11 @@
 
     /** Returns how long discovery may hold the next call while nothing changes, in milliseconds. */
     int nextHoldMillis() {
-        return state() == State.STEADY ? HOLD_MILLIS + random.nextInt(HOLD_JITTER_MILLIS) : 0;
+        if (state() != State.STEADY) {
+            return 0;
+        }
+        int holdMillis = HOLD_MILLIS + random.nextInt(HOLD_JITTER_MILLIS);
+        return Math.max(0, holdMillis - (int) (queueWaitSeconds * MILLIS_PER_SECOND));
     }
 
     /** Returns the timeout in seconds of a call that is not held, including its connect. */
@@ -217,7 +247,12 @@
      * response.
      */
     double heldCallTimeout(double holdSeconds) {
-        return holdSeconds + HOLD_OVERRUN_TIMEOUT_SECONDS;
+        return queueWaitSeconds + holdSeconds + HOLD_OVERRUN_TIMEOUT_SECONDS;
+    }
+
+    /** Returns the timeout in seconds of a call that stays open after it has timed out. */
+    double lateResponseTimeout() {
+        return LATE_RESPONSE_TIMEOUT_SECONDS;
     }
 
     /**
--- a/daemon/src/main/java/wheelroute/net/discovery/EndpointWatch.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/EndpointWatch.java
@@ -10,7 +10,9 @@
 
 /**
  * Keeps the endpoint list up to date by long polling: one call to discovery is always open, and the
- * next is made as soon as it has been answered.
+ * next is made as soon as it has been answered. A call that gets no response in time stays open
+ * beside the next one, see {@link LateCalls}; the first response of any call proves that the list
+ * is current.
  *
  * <p>{@link DiscoveryCall} makes the calls, {@link DiscoveryCallPolicy} decides when they are made
  * and when they time out, and {@link EndpointList#decode} reads the list. This class keeps the
@@ -67,6 +69,7 @@
     /** The open call; null while idle or stopped. */
     private DiscoveryCall call;
 
+    private final LateCalls lateCalls = new LateCalls();
     private boolean stopped;
 
     /**
@@ -121,6 +124,7 @@
         if (call != null) {
             dropCall();
         }
+        lateCalls.closeAll();
     }
 
     private void openAfter(double delaySeconds) {
@@ -149,11 +153,28 @@
         dropped.close();
     }
 
-    /** Returns whether this is the open call, rather than one that has been closed. */
+    /** Returns whether this is the open call, rather than one that is late or has been closed. */
     boolean isCurrent(DiscoveryCall candidate) {
         return call == candidate;
     }
 
+    /** Returns whether a response of this call is still of use, even if the call is late. */
+    boolean awaitsResponse(DiscoveryCall candidate) {
+        return isCurrent(candidate) || lateCalls.contains(candidate);
+    }
+
+    /** Makes the call that was answered the open one, and closes all others. */
+    private void continueWith(DiscoveryCall answered) {
+        if (!isCurrent(answered)) {
+            if (call != null) {
+                dropCall();
+            }
+            lateCalls.remove(answered);
+            call = answered;
+        }
+        lateCalls.closeAll();
+    }
+
     DiscoveryCallPolicy callPolicy() {
         return callPolicy;
     }
@@ -168,14 +189,15 @@
     }
 
     /**
-     * Processes the body of a response.
+     * Processes the body of a response, after which the call that was answered is the open one.
      *
      * @return whether it contained a change
      * @throws IOException if the body is not a list, or has changes where the complete list was
      *     requested
      */
-    boolean onResponse(byte[] json) throws IOException {
+    boolean onResponse(DiscoveryCall answered, byte[] json) throws IOException {
         boolean hasChanges = applyList(EndpointList.decode(json));
+        continueWith(answered);
         logRecovery();
         callPolicy.onResponse();
         if (!needsCompleteList) {
@@ -230,12 +252,17 @@
     }
 
     /**
-     * Ends a failed call and opens the next one after the delay that the call policy returns.
-     * Ignores the failure of a call that is not the open one.
+     * Ends a failed call and opens the next one after the delay that the call policy returns. A
+     * call without a response stays open as a late one. The failure of a late call only closes it,
+     * and that of any other call is ignored.
      *
      * @param reason text for the log line
      */
     void onFailure(DiscoveryCall failed, CallFailure.Kind kind, String reason) {
+        if (lateCalls.contains(failed)) {
+            lateCalls.remove(failed);
+            failed.close();
+        }
         if (!isCurrent(failed)) {
             return;
         }
@@ -250,10 +277,20 @@
         counters.count(Counters.Counter.DISCOVERY_FAILURES);
         CallFailure failure = failed.failure(kind);
         recordFailure(failure);
-        dropCall();
+        if (failed.mayBeAnsweredLate(kind)) {
+            keepWaiting();
+        } else {
+            dropCall();
+        }
         openAfter(callPolicy.delayAfterFailure(failure));
     }
 
+    private void keepWaiting() {
+        call.restartTimeout(callPolicy.lateResponseTimeout());
+        lateCalls.add(call);
+        call = null;
+    }
+
     private void recordFailure(CallFailure failure) {
         boolean wasOverloaded = callPolicy.isOverloaded();
         callPolicy.onFailure(failure);
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/discovery/LateCalls.java
@@ -0,0 +1,43 @@
+package wheelroute.net.discovery;
+
+import java.util.ArrayDeque;
+
+/**
+ * The calls that have timed out without any part of a response, but stay open beside the next call.
+ *
+ * <p>A timeout alone does not show whether a connection was lost or discovery is slow. A new call
+ * is needed if the connection was lost; the old call is needed if discovery is slow, since it is
+ * ahead of the new one in the queue of discovery. Whichever is answered first continues the watch.
+ *
+ * <p>Confined to the event loop's thread.
+ */
+final class LateCalls {
+    /** Maximum number of calls, which limits the connections to a discovery that never responds. */
+    private static final int MAX_CALLS = 3;
+
+    /** The open calls, the oldest first. */
+    private final ArrayDeque<DiscoveryCall> calls = new ArrayDeque<>();
+
+    boolean contains(DiscoveryCall call) {
+        return calls.contains(call);
+    }
+
+    /** Adds a call that has timed out. Closes the oldest one if there are too many. */
+    void add(DiscoveryCall call) {
+        calls.addLast(call);
+        if (calls.size() > MAX_CALLS) {
+            calls.removeFirst().close();
+        }
+    }
+
+    /** Removes a call without closing it. */
+    void remove(DiscoveryCall call) {
+        calls.remove(call);
+    }
+
+    /** Closes and removes all calls. */
+    void closeAll() {
+        calls.forEach(DiscoveryCall::close);
+        calls.clear();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/wheelroute/net/SlowDiscoveryTest.java
@@ -0,0 +1,198 @@
+package wheelroute.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static wheelroute.net.HttpMessages.HEALTH_CHECK;
+import static wheelroute.net.HttpMessages.endpointList;
+import static wheelroute.net.HttpMessages.exchange;
+import static wheelroute.net.HttpMessages.okResponse;
+import static wheelroute.net.HttpMessages.send;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import wheelroute.config.Config;
+import wheelroute.decision.Idempotency;
+import wheelroute.net.metrics.Counters;
+
+/** Guards against an endpoint list that is never updated because each call takes long. */
+public class SlowDiscoveryTest extends ServiceHarness {
+    /** A change counts as known by then, whether or not it was received. */
+    private static final double NOTIFICATION_LIMIT_SECONDS = 6;
+
+    /** A change counts as known by then after a new address was configured. */
+    private static final double RELOAD_LIMIT_SECONDS = 4;
+
+    private static final double STEP_SECONDS = 0.1;
+    private static final int CHANGES = 5;
+    private static final double SECONDS_BETWEEN_CHANGES = 7.3;
+
+    /** The most calls a second that a discovery gets which never responds. */
+    private static final double MAX_CALLS_PER_SECOND = 0.45;
+
+    private static final long POLL_NANOS = 100_000;
+
+    /** The version of the first list, which has one worker; each later version has one more. */
+    private static final int FIRST_VERSION = 5;
+
+    private static final Pattern KNOWN_VERSION = Pattern.compile("from=(\\d+)&hold_ms=(\\d+)");
+
+    private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger version = new AtomicInteger();
+    private Socket healthChecks;
+
+    /** A call, which is in the queue of discovery at first, and is then held until a change. */
+    private record Call(double queuedUntil, double heldUntil, int knownVersion) {
+        boolean isDue(double now, int version) {
+            return now >= queuedUntil && (now >= heldUntil || knownVersion < version);
+        }
+    }
+
+    /** Makes a server the discovery whose calls wait in the queue for a fixed time. */
+    private void answerAfter(StubServer server, double seconds) {
+        server.defaultResponse =
+                () -> {
+                    Call call = queue(server.received.poll(), loop.now() + seconds);
+                    while (!call.isDue(loop.now(), version.get())) {
+                        LockSupport.parkNanos(POLL_NANOS);
+                    }
+                    return okResponse(call.knownVersion < version.get() ? list() : noChanges());
+                };
+    }
+
+    private Call queue(String message, double queuedUntil) {
+        Matcher known = KNOWN_VERSION.matcher(message);
+        Call call =
+                known.find()
+                        ? new Call(
+                                queuedUntil,
+                                queuedUntil + Integer.parseInt(known.group(2)) / 1e3,
+                                Integer.parseInt(known.group(1)))
+                        : new Call(queuedUntil, queuedUntil, 0);
+        calls.add(call);
+        return call;
+    }
+
+    private String list() {
+        InetSocketAddress[] addresses = new InetSocketAddress[workerCount()];
+        for (int i = 0; i < addresses.length; i++) {
+            addresses[i] = new InetSocketAddress(InetAddress.getLoopbackAddress(), 9 + i);
+        }
+        return endpointList(addresses).replace("\"version\":5", "\"version\":" + version);
+    }
+
+    private int workerCount() {
+        return version.get() - FIRST_VERSION + 1;
+    }
+
+    private String noChanges() {
+        return "{\"version\":" + version + ",\"full\":false,\"servers\":[]}";
+    }
+
+    /** Advances the clock, and waits until responses that are due then have been processed. */
+    private void step(StubServer server) throws Exception {
+        loop.advance(STEP_SECONDS);
+        while (server.answered.get()
+                < calls.stream().filter(call -> call.isDue(loop.now(), version.get())).count()) {
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+        // Each round trip is a pass of the event loop: a response is read in one of them, and the
+        // call after it is received by discovery in another.
+        for (int i = 0; i < 2; i++) {
+            exchange(healthChecks, HEALTH_CHECK);
+            loop.awaitPendingTasks();
+        }
+    }
+
+    private void serveWithOneWorker() throws Exception {
+        clock.stop();
+        calls.clear();
+        version.set(FIRST_VERSION);
+        serve(Idempotency.IDEMPOTENT, 1024, list());
+        healthChecks = connect();
+    }
+
+    /** Returns how long it takes until the list of the current version has been received. */
+    private double secondsUntilReceived(StubServer server) throws Exception {
+        double startedAt = loop.now();
+        while (metric("workers_listed") != workerCount()) {
+            step(server);
+            assertTrue(loop.now() - startedAt < 20, "the change was not received");
+        }
+        return loop.now() - startedAt;
+    }
+
+    @DataProvider
+    public Object[][] secondsPerCall() {
+        // Sites let a call wait for 3 s at most.
+        return new Object[][] {{0.5}, {1.0}, {1.3}, {1.9}, {2.3}, {2.4}, {2.6}, {2.9}, {3.0}};
+    }
+
+    @Test(dataProvider = "secondsPerCall", timeOut = 6 * TIMEOUT_MILLIS)
+    public void receivesChangesInTimeHoweverLongCallsWait(double seconds) throws Exception {
+        answerAfter(discovery, seconds);
+        serveWithOneWorker();
+        double startedAt = loop.now();
+        for (int i = 1; i <= CHANGES; i++) {
+            for (double due = startedAt + i * SECONDS_BETWEEN_CHANGES; loop.now() < due; ) {
+                step(discovery);
+            }
+            version.incrementAndGet();
+            double waited = secondsUntilReceived(discovery);
+            assertTrue(
+                    waited <= NOTIFICATION_LIMIT_SECONDS,
+                    "change " + i + " was received after " + waited + " s");
+        }
+    }
+
+    /** Slow calls must not be answered by more calls, which would make discovery slower. */
+    @Test(dataProvider = "secondsPerCall", timeOut = 6 * TIMEOUT_MILLIS)
+    public void calledNoMoreOftenThanDiscoveryThatNeverResponds(double seconds) throws Exception {
+        answerAfter(discovery, seconds);
+        serveWithOneWorker();
+        double startedAt = loop.now();
+        while (loop.now() < startedAt + 40) {
+            step(discovery);
+        }
+        double perSecond = service.counters().value(Counters.Counter.DISCOVERY_CALLS) / 40.0;
+        assertTrue(perSecond <= MAX_CALLS_PER_SECOND, perSecond + " calls a second");
+    }
+
+    @Test(dataProvider = "secondsPerCall", timeOut = TIMEOUT_MILLIS)
+    public void receivesListOfNewAddressInTimeHoweverLongCallsWait(double seconds)
+            throws Exception {
+        serveWithOneWorker();
+        StubServer other = new StubServer(open);
+        version.incrementAndGet();
+        answerAfter(other, seconds);
+        Config changed = config(other.listen());
+        service.reload(() -> changed);
+        loop.awaitPendingTasks();
+        double waited = secondsUntilReceived(other);
+        assertTrue(waited <= RELOAD_LIMIT_SECONDS, "received after " + waited + " s");
+    }
+
+    /** The response of the older call continues the watch, and the newer call is given up. */
+    @Test(timeOut = TIMEOUT_MILLIS)
+    public void continuesWithCallThatIsAnsweredAfterItsTimeout() throws Exception {
+        serveWithOneWorker();
+        assertTrue(discovery.nextFirstLine().contains("from=5"));
+        Socket first = discovery.lastConnection;
+        loop.advance(4.8);
+        assertEquals(discovery.promptFirstLine(), "GET /v1/servers?from=5&hold_ms=0 HTTP/1.1");
+        version.incrementAndGet();
+        send(first, okResponse(list()));
+        awaitMetric("workers_listed", 2);
+        assertEquals(discovery.closed.take().intValue(), 2);
+        assertTrue(discovery.nextFirstLine().contains("from=6"));
+        assertEquals(discovery.lastConnection, first);
+    }
+}
