--- a/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
+++ b/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
@@ -2,8 +2,8 @@
 
 /**
  * Divides the heap among the data that the process buffers for other programs. What is left, more
- * than half of the heap, is for everything else: classes, connections, the endpoint list, the state
- * of requests, and what is derived from bodies while they are decoded.
+ * than a third of the heap, is for everything else: classes, connections, the endpoint list, the
+ * state of requests, and what is derived from bodies while they are decoded.
  *
  * <p>Used on the event loop's thread only.
  */
@@ -14,6 +14,15 @@
     private static final double PIPELINED_INPUT_FRACTION = 0.1;
     private static final double RESPONSES_FRACTION = 0.12;
 
+    /**
+     * While an endpoint list is applied, the heap holds its bytes, its entries, and the entries
+     * that they replace.
+     */
+    private static final double ENDPOINT_LIST_FRACTION = 1 / 12.0;
+
+    /** Lists up to this size, enough for some thousands of workers, are read on any heap. */
+    private static final long MIN_ENDPOINT_LIST_BYTES = 1 << 20;
+
     /** Maximum memory for pipelined input on a large heap. */
     private static final long MAX_PIPELINED_INPUT_BYTES = 4L * 1024 * 1024;
 
@@ -41,6 +50,16 @@
         return new HeapBudget(Runtime.getRuntime().maxMemory());
     }
 
+    /**
+     * Returns the maximum size of an endpoint list as discovery sends it. There is only one at a
+     * time, so it needs no quota.
+     *
+     * @param heapBytes the maximum size of the heap
+     */
+    public static long maxEndpointListBytes(long heapBytes) {
+        return Math.max(MIN_ENDPOINT_LIST_BYTES, (long) (ENDPOINT_LIST_FRACTION * heapBytes));
+    }
+
     /** Returns the quota for the bodies of requests, from their arrival to the final response. */
     public MemoryQuota requestBodies() {
         return requestBodies;
--- a/daemon/src/test/java/wheelroute/DescriptorLimitTest.java
+++ b/daemon/src/test/java/wheelroute/DescriptorLimitTest.java
@@ -69,15 +69,10 @@
     private int startWorker(BlockingQueue<Integer> received) throws IOException {
         ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         resources.add(server);
-        BackgroundTask.start(
-                () -> {
-                    while (true) {
-                        Socket socket = server.accept();
-                        resources.add(socket);
-                        BackgroundTask.start(
-                                () -> completeRequests(socket, server.getLocalPort(), received));
-                    }
-                });
+        BackgroundTask.acceptAll(
+                server,
+                resources,
+                socket -> completeRequests(socket, server.getLocalPort(), received));
         return server.getLocalPort();
     }
 
@@ -220,20 +215,15 @@
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
         AtomicInteger responses = new AtomicInteger();
-        BackgroundTask.start(
-                () -> {
+        BackgroundTask.acceptAll(
+                server,
+                resources,
+                socket -> {
                     while (true) {
-                        Socket socket = server.accept();
-                        resources.add(socket);
-                        BackgroundTask.start(
-                                () -> {
-                                    while (true) {
-                                        calls.add(readMessage(socket.getInputStream()));
-                                        if (responses.getAndIncrement() == 0) {
-                                            send(socket, okResponse(endpointList(6, worker)));
-                                        }
-                                    }
-                                });
+                        calls.add(readMessage(socket.getInputStream()));
+                        if (responses.getAndIncrement() == 0) {
+                            send(socket, okResponse(endpointList(6, worker)));
+                        }
                     }
                 });
     }
--- a/daemon/src/test/java/wheelroute/LongResponsesTest.java
+++ b/daemon/src/test/java/wheelroute/LongResponsesTest.java
@@ -57,14 +57,7 @@
     private int startWorker() throws IOException {
         ServerSocket server = new ServerSocket(0, REQUESTS, InetAddress.getLoopbackAddress());
         resources.add(server);
-        BackgroundTask.start(
-                () -> {
-                    while (true) {
-                        Socket socket = server.accept();
-                        resources.add(socket);
-                        BackgroundTask.start(() -> respond(socket));
-                    }
-                });
+        BackgroundTask.acceptAll(server, resources, this::respond);
         return server.getLocalPort();
     }
 
