Look for the end of a full connection's stream every 50 ms instead of without a pause

Change: with no room for input, reading pauses (StreamConnection.onReadingPaused), and EndOfStreamPoll checks every 50 ms, half of the 0.1 s after which no attempt may begin, reading 256 KiB at most; before an attempt all that has arrived is read.

--- a/daemon/src/main/java/wheelroute/net/clients/BadRequestException.java
+++ b/daemon/src/main/java/wheelroute/net/clients/BadRequestException.java
@@ -29,4 +29,11 @@
     public int status() {
         return status;
     }
+
+    /** Returns the rejection of input behind a request, for which there was no memory. */
+    static BadRequestException tooMuchInput() {
+        return new BadRequestException(
+                HttpStatus.SERVICE_UNAVAILABLE_503,
+                "too much input behind a request that was not answered yet");
+    }
 }
--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -23,14 +23,15 @@
     private static final double LINGER_SECONDS = 1;
 
     /**
-     * The most that one check for the end of the stream reads, which exceeds what the operating
-     * system buffers for a connection: a client that sends more is still there.
+     * The most that a check before an attempt reads, which exceeds what the operating system
+     * usually buffers for a connection: a client that sends more is still there.
      */
     private static final int MAX_CHECKED_BYTES = 8 * 1024 * 1024;
 
     private final ClientServer server;
     private final MessageInput input;
     private final ResponseWriter writer;
+    private final EndOfStreamPoll endOfStreamPoll;
     private State state = State.READING;
 
     /** The accepted request whose response is awaited; null if there is none. */
@@ -60,6 +61,7 @@
         this.server = server;
         input = new MessageInput(loop, server.heapBudget(), this::onMessageTimeout);
         writer = new ResponseWriter(endPoint, server.heapBudget().responses());
+        endOfStreamPoll = new EndOfStreamPoll(loop, this::pollEndOfStream);
     }
 
     @Override
@@ -85,9 +87,8 @@
 
     @Override
     protected boolean canRead() {
-        // While an accepted request waits, input is read even if there is no room for it, because
-        // the end of the stream must be noticed.
-        return !isBusy() || accepted != null || !input.isBufferFull();
+        // Between messages input is always read, even if other clients have exhausted the quota.
+        return !isBusy() || !input.isBufferFull();
     }
 
     @Override
@@ -161,7 +162,7 @@
     private void accept(ClientRequest message, double arrivedAt) {
         try {
             message.checkAcceptable();
-            if (hasReachedEndOfStream()) {
+            if (hasReachedEndOfStream(MAX_CHECKED_BYTES)) {
                 server.onNotAccepted();
                 onClientGone();
                 return;
@@ -182,11 +183,13 @@
      * After a pause of the process, a message may come from a client that has disconnected since,
      * and for which no attempt should be started. The end of the stream can only be seen behind all
      * input, so input for which there is no room is read too, and discarded.
+     *
+     * @param maxBytes the most input to read; a client that has sent more counts as connected
      */
-    private boolean hasReachedEndOfStream() {
+    private boolean hasReachedEndOfStream(int maxBytes) {
         try {
             int count = 1;
-            for (int total = 0; count > 0 && total < MAX_CHECKED_BYTES; total += count) {
+            for (int total = 0; count > 0 && total < maxBytes; total += count) {
                 count = readOnce();
             }
             return count < 0;
@@ -195,6 +198,22 @@
         }
     }
 
+    /** Keeps looking for the end of the stream while an accepted request waits. */
+    @Override
+    protected void onReadingPaused() {
+        if (accepted != null) {
+            endOfStreamPoll.schedule();
+        }
+    }
+
+    private void pollEndOfStream() {
+        if (accepted != null && hasReachedEndOfStream(PipelinedInput.MAX_BYTES)) {
+            onClientGone();
+        } else {
+            resumeReading();
+        }
+    }
+
     /** Reads once without waiting. Returns the number of bytes, or -1 at the end of the stream. */
     private int readOnce() throws IOException {
         ByteBuffer in = loop.scratchBuffer();
@@ -216,7 +235,7 @@
 
     @Override
     public boolean isClientGone() {
-        boolean isGone = !getEndPoint().isOpen() || hasReachedEndOfStream();
+        boolean isGone = !getEndPoint().isOpen() || hasReachedEndOfStream(MAX_CHECKED_BYTES);
         if (isGone) {
             loop.post(this::onClientGone);
         }
@@ -262,25 +281,16 @@
             }
         }
         if (state == State.READING && input.hasGap()) {
-            rejectDiscardedInput();
+            // All messages before the first discarded one have been answered.
+            sendErrorAndClose(BadRequestException.tooMuchInput());
         }
-        if (canRead() && getEndPoint().isOpen() && !isFillInterested()) {
+        if (!canRead()) {
+            onReadingPaused();
+        } else if (getEndPoint().isOpen() && !isFillInterested()) {
             fillInterested();
         }
     }
 
-    /**
-     * Rejects the first message that was discarded at least in part, after all messages before it
-     * have been answered. Clients that wait for each response before they send the next request are
-     * never affected.
-     */
-    private void rejectDiscardedInput() {
-        sendErrorAndClose(
-                new BadRequestException(
-                        HttpStatus.SERVICE_UNAVAILABLE_503,
-                        "too much input behind a request that was not answered yet"));
-    }
-
     /** Closes the connection after a delay in which the client can read the last response. */
     private void linger() {
         state = State.LINGERING;
@@ -313,7 +323,7 @@
         if (state != State.READING) {
             return;
         }
-        if (hasReachedEndOfStream()) {
+        if (hasReachedEndOfStream(MAX_CHECKED_BYTES)) {
             close();
         } else if (!isBusy()) {
             evict();
--- a/daemon/src/main/java/wheelroute/net/clients/PipelinedInput.java
+++ b/daemon/src/main/java/wheelroute/net/clients/PipelinedInput.java
@@ -59,7 +59,9 @@
 
     /** Whether there is no room for further input. */
     boolean isFull() {
-        return buffer.remaining() >= MAX_BYTES || quota.isExhaustedFor(buffer.remaining());
+        return hasGap
+                || buffer.remaining() >= MAX_BYTES
+                || quota.isExhaustedFor(buffer.remaining());
     }
 
     /** Whether little should be read at once, because the memory of all connections is used up. */
@@ -74,7 +76,7 @@
 
     /** Adds all bytes of the input, even if they exceed a limit; discards them if it is reached. */
     void add(ByteBuffer in, double arrivedAt) {
-        if (hasGap || isFull()) {
+        if (isFull()) {
             hasGap = true;
             in.position(in.limit());
             return;
--- a/daemon/src/main/java/wheelroute/net/loop/StreamConnection.java
+++ b/daemon/src/main/java/wheelroute/net/loop/StreamConnection.java
@@ -37,6 +37,12 @@
         return true;
     }
 
+    /**
+     * Called when reading stops because {@link #canRead} does not permit it. {@link #resumeReading}
+     * continues it.
+     */
+    protected void onReadingPaused() {}
+
     /** Returns the empty buffer for the next read, whose capacity limits what is read at once. */
     protected ByteBuffer readBuffer() {
         return loop.readBuffer();
@@ -91,6 +97,9 @@
                     return;
                 }
             }
+            if (getEndPoint().isOpen()) {
+                onReadingPaused();
+            }
         } catch (IOException | RuntimeException e) {
             onFailure(e);
         }
--- a/daemon/src/test/java/wheelroute/net/ClientDisconnectTest.java
+++ b/daemon/src/test/java/wheelroute/net/ClientDisconnectTest.java
@@ -119,7 +119,7 @@
         workers.nextFirstLine();
         disconnect(client, disconnect);
         while (metric("clients_gone_total") < 1) {
-            loop.awaitPendingTasks();
+            loop.advance(0.01);
         }
         assertEquals(metric("submissions_pending"), OTHER_CLIENTS);
     }
--- a/daemon/src/test/java/wheelroute/net/PipeliningTest.java
+++ b/daemon/src/test/java/wheelroute/net/PipeliningTest.java
@@ -95,7 +95,7 @@
         // More bytes arrive than the budget allows. They are read, to notice the end of the stream,
         // but only kept until the budget is used up.
         while (loop.bytesRead.get() < clients * 200_000L) {
-            loop.awaitPendingTasks();
+            loop.advance(0.01);
         }
         long keptBytes = reservedForPipelinedInput();
         assertTrue(keptBytes > MIN_KEPT_BYTES, "little of the budget is used: " + keptBytes);
