Reject discarded input only on an open connection, and close late calls one by one

Found by reading the change once more: a connection that closes while its buffered requests are read was recorded as in flight again if it had discarded input, which would count it against the limit for good; and the end of a late call could remove it from the list that is being walked.

--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -280,7 +280,7 @@
                 input.releaseBuffer();
             }
         }
-        if (state == State.READING && input.hasGap()) {
+        if (state == State.READING && input.hasGap() && getEndPoint().isOpen()) {
             // All messages before the first discarded one have been answered.
             sendErrorAndClose(BadRequestException.tooMuchInput());
         }
--- a/daemon/src/main/java/wheelroute/net/discovery/LateCalls.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/LateCalls.java
@@ -37,7 +37,9 @@
 
     /** Closes and removes all calls. */
     void closeAll() {
-        calls.forEach(DiscoveryCall::close);
-        calls.clear();
+        while (!calls.isEmpty()) {
+            // The call is removed first, because its end must not count as a failure.
+            calls.removeFirst().close();
+        }
     }
 }
