--- a/daemon/src/test/java/wheelroute/net/GracefulShutdownServiceTest.java
+++ b/daemon/src/test/java/wheelroute/net/GracefulShutdownServiceTest.java
@@ -51,14 +51,7 @@
         assertEquals(statusOf(exchange(other, jobRequest(10).replace("/job/", "/other/"))), 404);
         CompletableFuture<Void> ended = drain(service);
         awaitDraining();
-        boolean listening = true;
-        while (listening) {
-            try (Socket next = connect()) {
-                exchange(next, HEALTH_CHECK);
-            } catch (IOException e) {
-                listening = false;
-            }
-        }
+        awaitNotListening();
         String served = exchange(kept, jobRequest(10));
         assertTrue(
                 served.startsWith("HTTP/1.1 200") && !served.contains("Connection: close"), served);
@@ -82,6 +75,17 @@
         service = null;
     }
 
+    private void awaitNotListening() {
+        boolean listening = true;
+        while (listening) {
+            try (Socket next = connect()) {
+                exchange(next, HEALTH_CHECK);
+            } catch (IOException e) {
+                listening = false;
+            }
+        }
+    }
+
     @Test(timeOut = TIMEOUT_MILLIS)
     public void servesSlowWriterBeforeExit() throws Exception {
         workers.responses.add(SUCCESS);
