--- a/kit/src/main/java/wheelroute/kit/faults/RelayDirection.java
+++ b/kit/src/main/java/wheelroute/kit/faults/RelayDirection.java
@@ -135,7 +135,7 @@
     private void onWritten(Chunk chunk) {
         isWriting = false;
         bufferedBytes -= chunk.size;
-        chunk.sender.resumeReading();
+        chunk.sender.resumeSuspendedReading();
         forward();
     }
 }
--- a/kit/src/main/java/wheelroute/kit/faults/RelayedConnection.java
+++ b/kit/src/main/java/wheelroute/kit/faults/RelayedConnection.java
@@ -127,7 +127,7 @@
         }
 
         /** Resumes suspended reading if the direction has buffer space again. */
-        void resumeReading() {
+        void resumeSuspendedReading() {
             if (isReadingSuspended && !direction.isFull() && getEndPoint().isOpen()) {
                 isReadingSuspended = false;
                 onFillable();
