Review case 10: reloads in quick succession keep a slow discovery's list away

Each reload closes the call that the one before it had opened, so that no list is taken while configurations come faster than discovery answers.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,8 +4,8 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
 classes=$root/review/stand-ins-2/target/classes
-if [ ! -f "$classes/ManyAtOnce.class" ] || [ ! -f "$root/daemon/target/wheelroute.jar" ]; then
+if [ ! -f "$classes/ReloadsInSuccession.class" ] || [ ! -f "$root/daemon/target/wheelroute.jar" ]; then
     echo "not built: run the build of deploy/balancer.toml and review/build-2.sh" >&2
     exit 2
 fi
-cd "$root" && exec java -Xmx512m -cp "$classes" ManyAtOnce "$root" "$folder"
+cd "$root" && exec java -Xmx512m -cp "$classes" ReloadsInSuccession "$root" "$folder"
--- a/review/stand-ins-2/src/rig/Discovery.java
+++ b/review/stand-ins-2/src/rig/Discovery.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -28,6 +30,7 @@
     private final ServerSocket server;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Entry> gone = new LinkedHashMap<>();
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private long version;
 
     /** How answers are written; at once, unless the case sets another way. */
@@ -115,7 +118,23 @@
         }
     }
 
+    /** Takes no new connection any more, and closes the open ones after 1.5 s, as at a new configuration. */
+    public void retire() throws IOException {
+        server.close();
+        Rig.daemon(name + "-end", () -> {
+            Rig.sleep(1.5);
+            for (Socket socket : connections) {
+                try {
+                    socket.close();
+                } catch (IOException e) {
+                    // It is closed either way.
+                }
+            }
+        });
+    }
+
     private void serve(Socket socket) {
+        connections.add(socket);
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Http.Message call = Http.read(in); call != null; call = Http.read(in)) {
@@ -134,6 +153,8 @@
             rig.note(name + ": a call's connection ended");
         } catch (InterruptedException e) {
             throw new IllegalStateException(e);
+        } finally {
+            connections.remove(socket);
         }
     }
 }
