--- a/review/10/src/ReloadsInSuccession.java
+++ b/review/10/src/ReloadsInSuccession.java
@@ -126,6 +126,7 @@
 
     private static void ask(Rig rig, int port, String id, AtomicInteger served) {
         try (Client client = new Client(port)) {
+            rig.note(id + " sent");
             client.write(Client.request("holding-value", id, TIMEOUT, "X-Cost: 200000\r\n", "a job"));
             Http.Message answer = client.read(TIMEOUT + 0.6);
             rig.note(id + " answered: " + (answer == null ? "closed" : answer.first()));
--- a/review/6/src/EndlessHeads.java
+++ b/review/6/src/EndlessHeads.java
@@ -115,6 +115,7 @@
     private static void ask(Rig rig, int port, String id, AtomicInteger served, Queue<String> lost) {
         boolean taken = false;
         try (Client client = new Client(port)) {
+            rig.note(id + " sent");
             client.write(Client.request("holding-value", id, TIMEOUT, "X-Cost: 200000\r\n", "a job"));
             taken = true;
             Http.Message answer = client.read(TIMEOUT + 0.6);
