Count heads and bodies of requests together, and keep only fields that are used

Cause: HttpMessageReader kept every field of a head in a map until the next message of the connection, some 180 KB for a head of 8 KiB, and nothing counted heads. On related paths: the same map for responses of workers and discovery, parser buffers of idle connections, and equal shares of pipelined input that together could exceed their quota, as they were divided by the number of buffers in use.

Change: only used fields are kept; RequestMemory counts head and body of a connection in one quota (HeapBudget.requests, 0.3 of the heap); FairShareQuota reserves a share for each connection that there can be, so its limit is strict; a parser exists only while a message is read. The test of the quota of bodies now counts heads too, with larger bodies; it is as strict.

--- a/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientConnection.java
@@ -245,7 +245,7 @@
     @Override
     public void send(ClientResponse response) {
         accepted = null;
-        input.releaseBody();
+        input.releaseMessage();
         if (state == State.AWAITING_RESPONSE) {
             state = State.WRITING_RESPONSE;
         }
@@ -392,7 +392,7 @@
     }
 
     private void release() {
-        input.releaseBody();
+        input.releaseMessage();
         input.releaseBuffer();
         writer.release();
         server.onClosed(this);
--- a/daemon/src/main/java/wheelroute/net/clients/ClientRequestDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientRequestDecoder.java
@@ -3,13 +3,15 @@
 import java.nio.ByteBuffer;
 import java.util.Set;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import wheelroute.net.http.HttpMessageReader;
-import wheelroute.net.memory.MemoryQuota;
+import wheelroute.net.memory.FairShareQuota;
 import wheelroute.units.TimeUnits;
 
 /**
@@ -59,9 +61,18 @@
                     "x-retried",
                     "x-tenant-id");
 
-    private final HttpParser parser =
-            withoutHeaderCache(new HttpParser(this, MAX_HEAD_BYTES, COMPLIANCE));
+    /** The fields that are used, or whose presence is an error. */
+    private static final Set<String> KEPT_FIELDS =
+            Stream.concat(SINGLE_VALUE_FIELDS.stream(), Stream.of("expect"))
+                    .collect(Collectors.toUnmodifiableSet());
+
+    private final RequestMemory memory;
     private final RequestBody body;
+
+    /** The parser of the current message; null between two messages, as its buffers are large. */
+    private HttpParser parser;
+
+    private boolean isHeadComplete;
     private String method;
     private String target;
 
@@ -74,15 +85,21 @@
     /**
      * Creates a decoder for one connection.
      *
-     * @param quota limits the memory for the bodies of all connections
+     * @param quota limits the memory for the requests of all connections
      */
-    public ClientRequestDecoder(MemoryQuota quota) {
-        body = new RequestBody(quota);
+    public ClientRequestDecoder(FairShareQuota quota) {
+        super(KEPT_FIELDS);
+        memory = new RequestMemory(quota);
+        body = new RequestBody(memory);
     }
 
-    /** Releases the memory of the body of the last request. */
+    /** Discards the last request, which may be incomplete, and releases its memory. */
     public void release() {
-        body.release();
+        parser = null;
+        fields.clear();
+        target = null;
+        body.clear();
+        memory.release();
     }
 
     /**
@@ -93,12 +110,7 @@
      */
     public ClientRequest decode(ByteBuffer in) throws BadRequestException {
         while (!isComplete() && failure == null && in.hasRemaining()) {
-            try {
-                parser.parseNext(in);
-            } catch (RuntimeException e) {
-                // Jetty throws for some malformed messages, and calls badMessage() for others.
-                throw BadRequestException.malformed("no HTTP message");
-            }
+            parse(in);
         }
         if (failure != null) {
             throw failure;
@@ -107,10 +119,44 @@
             return null;
         }
         ClientRequest request = request();
-        parser.reset();
+        parser = null;
         return request;
     }
 
+    /** Parses a part of the message, and reserves memory for what belongs to its head. */
+    private void parse(ByteBuffer in) throws BadRequestException {
+        if (parser == null) {
+            release();
+            parser = withoutHeaderCache(new HttpParser(this, MAX_HEAD_BYTES, COMPLIANCE));
+            isHeadComplete = false;
+        }
+        if (isHeadComplete) {
+            parseNext(in);
+            return;
+        }
+        int start = in.position();
+        parseNext(in);
+        memory.reserveHead(in.position() - start);
+        if (isHeadComplete && failure == null && !isComplete()) {
+            // An empty body is complete without further bytes.
+            parseNext(in);
+        }
+    }
+
+    private void parseNext(ByteBuffer in) throws BadRequestException {
+        try {
+            parser.parseNext(in);
+        } catch (RuntimeException e) {
+            // Jetty throws for some malformed messages, and calls badMessage() for others.
+            throw BadRequestException.malformed("no HTTP message");
+        }
+    }
+
+    /** Returns the number of header fields that the current message occupies memory with. */
+    int keptFieldCount() {
+        return fields.size();
+    }
+
     private ClientRequest request() throws BadRequestException {
         if (!TARGET.matcher(target).matches()) {
             throw BadRequestException.malformed("the target is no path with a query");
@@ -151,7 +197,7 @@
 
     @Override
     public boolean headerComplete() {
-        body.release();
+        isHeadComplete = true;
         if (repeatedField != null) {
             failure = BadRequestException.malformed(repeatedField + " comes more than once");
         } else if (!isBodyLengthUnambiguous()) {
@@ -163,7 +209,8 @@
         } else if (parser.getContentLength() > RequestBody.MAX_BYTES) {
             failure = RequestBody.tooLarge();
         }
-        return failure != null;
+        // The parser stops here, so that its position is the end of the head.
+        return true;
     }
 
     private boolean isBodyLengthUnambiguous() {
--- a/daemon/src/main/java/wheelroute/net/clients/ClientServer.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientServer.java
@@ -120,13 +120,20 @@
                 .connectionToEvict(loop.now(), ClientConnection::readAvailable)
                 .ifPresent(ClientConnection::evict);
         connections.update(connection, ConnectionLimit.Stage.NEW, loop.now());
-        if (connections.count()
-                > connections.limit() + 1 + REJECTED_FRACTION * connections.limit()) {
+        if (connections.count() > maxOpenConnections(connections.limit())) {
             connection.close();
         }
         return connections.count() <= connections.limit();
     }
 
+    /**
+     * Returns the maximum number of open connections, including those over a limit whose requests
+     * are rejected.
+     */
+    public static int maxOpenConnections(int limit) {
+        return limit + 1 + (int) (REJECTED_FRACTION * limit);
+    }
+
     /** Records that a connection has reached a stage, or made progress within it. */
     void update(ClientConnection connection, ConnectionLimit.Stage stage) {
         connections.update(connection, stage, loop.now());
--- a/daemon/src/main/java/wheelroute/net/clients/MessageInput.java
+++ b/daemon/src/main/java/wheelroute/net/clients/MessageInput.java
@@ -35,7 +35,7 @@
      */
     MessageInput(EventLoop loop, HeapBudget heapBudget, Runnable onTimeout) {
         this.loop = loop;
-        decoder = new ClientRequestDecoder(heapBudget.requestBodies());
+        decoder = new ClientRequestDecoder(heapBudget.requests());
         pipelined = new PipelinedInput(heapBudget.pipelinedInput());
         timeout = new MessageTimeout(loop, onTimeout);
     }
@@ -64,6 +64,7 @@
     void abandonMessage() {
         timeout.cancel();
         hasPartialMessage = false;
+        releaseMessage();
     }
 
     /**
@@ -126,8 +127,8 @@
         return pipelined.buffered();
     }
 
-    /** Releases the memory of the body of the last message. */
-    void releaseBody() {
+    /** Discards the last message, which may be incomplete, and releases its memory. */
+    void releaseMessage() {
         decoder.release();
     }
 
--- a/daemon/src/main/java/wheelroute/net/clients/PipelinedInput.java
+++ b/daemon/src/main/java/wheelroute/net/clients/PipelinedInput.java
@@ -103,10 +103,7 @@
         if (buffer.capacity() - buffer.position() < needed) {
             int spare = isMemoryScarce() ? 0 : Math.min(needed, Math.max(0, MAX_BYTES - needed));
             ByteBuffer larger = ByteBuffer.allocate(needed + spare);
-            if (buffer == EMPTY) {
-                quota.addBuffer();
-            }
-            quota.reserve(larger.capacity() - buffer.capacity());
+            quota.reserve(buffer.capacity(), larger.capacity() - buffer.capacity());
             buffer = larger.put(buffer).flip();
         }
         buffer.mark().position(buffer.limit()).limit(buffer.limit() + in.remaining());
@@ -132,9 +129,7 @@
 
     /** Discards all input and returns the memory of the buffer to the quota. */
     void release() {
-        if (buffer != EMPTY) {
-            quota.removeBuffer(buffer.capacity());
-        }
+        quota.release(buffer.capacity());
         buffer = EMPTY;
         arrivals.clear();
     }
--- a/daemon/src/main/java/wheelroute/net/clients/RequestBody.java
+++ b/daemon/src/main/java/wheelroute/net/clients/RequestBody.java
@@ -3,31 +3,25 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import org.eclipse.jetty.http.HttpStatus;
-import wheelroute.net.memory.MemoryQuota;
 
-/**
- * The body of the request that is being decoded. The memory for the body is reserved from a quota
- * that all connections share. Used on the event loop's thread only.
- */
+/** The body of the request that is being decoded. Used on the event loop's thread only. */
 final class RequestBody {
     /** The maximum size of a body by the protocol for clients. */
     static final int MAX_BYTES = 64 * 1024;
 
     private static final byte[] EMPTY = {};
 
-    private final MemoryQuota quota;
+    private final RequestMemory memory;
     private byte[] bytes = EMPTY;
     private int receivedBytes;
-    private int reservedBytes;
 
-    RequestBody(MemoryQuota quota) {
-        this.quota = quota;
+    /** Creates an empty body, which reserves its memory as bytes arrive. */
+    RequestBody(RequestMemory memory) {
+        this.memory = memory;
     }
 
-    /** Discards the content and returns the reserved memory to the quota. */
-    void release() {
-        quota.release(reservedBytes);
-        reservedBytes = 0;
+    /** Discards the content. The caller releases the memory. */
+    void clear() {
         receivedBytes = 0;
         bytes = EMPTY;
     }
@@ -42,7 +36,6 @@
         int length = piece.remaining();
         int needed = receivedBytes + length;
         if (needed > bytes.length) {
-            // The reservation grows as bytes arrive, so that a stalled client holds little memory.
             long maxBytes = contentLength > 0 ? contentLength : MAX_BYTES;
             grow(Math.max(needed, Math.min(2L * bytes.length, maxBytes)));
         }
@@ -54,12 +47,8 @@
         if (newLength > MAX_BYTES) {
             throw tooLarge();
         }
-        if (!quota.tryReserve((int) newLength - reservedBytes)) {
-            throw new BadRequestException(
-                    HttpStatus.SERVICE_UNAVAILABLE_503, "no room for the body now");
-        }
-        reservedBytes = (int) newLength;
-        bytes = Arrays.copyOf(bytes, reservedBytes);
+        memory.reserveBody((int) newLength - bytes.length);
+        bytes = Arrays.copyOf(bytes, (int) newLength);
     }
 
     /** Returns the bytes received so far, not copied if they fill the buffer exactly. */
--- a/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -26,7 +27,7 @@
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final Counters counters;
-    private final ResponseParser parser = new ResponseParser(this);
+    private final ResponseParser parser = new ResponseParser(this, Set.of());
     private final ListResponseBody body = new ListResponseBody();
     private final CallProgress progress;
 
--- a/daemon/src/main/java/wheelroute/net/http/HttpMessageReader.java
+++ b/daemon/src/main/java/wheelroute/net/http/HttpMessageReader.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
@@ -13,12 +14,27 @@
  * thread-safe.
  */
 public abstract class HttpMessageReader implements HttpParser.HttpHandler {
-    /** The values of the header fields by lower-case name. A repeated name has its last value. */
+    /**
+     * The values of the kept header fields by lower-case name. A repeated name has its last value.
+     */
     protected final Map<String, String> fields = new HashMap<>();
 
+    /** The lower-case names of the fields that are kept. */
+    private final Set<String> keptFields;
+
     private boolean keepsOpen;
     private boolean complete;
 
+    /**
+     * Creates a reader that keeps some fields only. A field takes many times its length in the
+     * heap, and a peer may send a thousand in one message.
+     *
+     * @param keptFields the lower-case names of the fields that are kept
+     */
+    protected HttpMessageReader(Set<String> keptFields) {
+        this.keptFields = keptFields;
+    }
+
     /**
      * Disables a parser's cache of header fields and returns the parser. From the first message on,
      * the cache takes some 100 KB per connection, so that a thousand connections would fill the
@@ -55,7 +71,8 @@
     @Override
     public void parsedHeader(HttpField field) {
         String name = field.getName().toLowerCase(Locale.ROOT);
-        if (fields.put(name, field.getValue() == null ? "" : field.getValue()) != null) {
+        if (keptFields.contains(name)
+                && fields.put(name, field.getValue() == null ? "" : field.getValue()) != null) {
             onRepeatedField(name);
         }
         if (name.equals("connection") && field.contains("close")) {
@@ -63,7 +80,7 @@
         }
     }
 
-    /** Called for a field whose name has occurred before in the same message. */
+    /** Called for a kept field whose name has occurred before in the same message. */
     protected void onRepeatedField(String name) {
         // By default the last value of the field is used.
     }
--- a/daemon/src/main/java/wheelroute/net/http/ResponseParser.java
+++ b/daemon/src/main/java/wheelroute/net/http/ResponseParser.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpParser;
@@ -19,7 +20,7 @@
      */
     public interface Handler {
         /**
-         * Receives the status and the header fields, whose names are in lower case.
+         * Receives the status and the kept header fields, whose names are in lower case.
          *
          * @throws IOException to reject the response
          */
@@ -53,19 +54,33 @@
     /** The lowest status of a final response. Lower ones are informational and precede it. */
     private static final int FIRST_FINAL_STATUS = 200;
 
-    private final HttpParser parser =
-            withoutHeaderCache(new HttpParser(this, MAX_HEAD_BYTES, COMPLIANCE));
     private final Handler handler;
+
+    /** The parser of the current message; null between two messages, as its buffers are large. */
+    private HttpParser parser;
+
     private int status;
 
     /** The exception to throw once Jetty's parser has returned; null if there is none. */
     private IOException failure;
 
-    /** Creates a parser for a new connection. */
-    public ResponseParser(Handler handler) {
+    /**
+     * Creates a parser for a new connection.
+     *
+     * @param keptFields the lower-case names of the header fields that the handler uses
+     */
+    public ResponseParser(Handler handler, Set<String> keptFields) {
+        super(keptFields);
         this.handler = handler;
     }
 
+    private HttpParser parser() {
+        if (parser == null) {
+            parser = withoutHeaderCache(new HttpParser(this, MAX_HEAD_BYTES, COMPLIANCE));
+        }
+        return parser;
+    }
+
     /**
      * Parses all remaining bytes of the buffer.
      *
@@ -75,7 +90,7 @@
     public void parse(ByteBuffer in) throws IOException {
         while (in.hasRemaining()) {
             try {
-                parser.parseNext(in);
+                parser().parseNext(in);
             } catch (RuntimeException e) {
                 // Jetty throws for some malformed messages, and calls badMessage() for others.
                 throw new MalformedResponseException("not an HTTP response", e);
@@ -84,7 +99,7 @@
                 throw failure;
             }
             if (takeComplete()) {
-                parser.reset();
+                parser = null;
                 if (status >= FIRST_FINAL_STATUS) {
                     handler.onComplete(keepsOpen() && !in.hasRemaining());
                 }
@@ -99,8 +114,8 @@
      * @throws IOException if the handler rejects the response
      */
     public void parseEndOfStream() throws IOException {
-        parser.atEOF();
-        parser.parseNext(ByteBuffer.allocate(0));
+        parser().atEOF();
+        parser().parseNext(ByteBuffer.allocate(0));
         if (failure != null) {
             throw failure;
         }
--- a/daemon/src/main/java/wheelroute/net/lifecycle/DescriptorBudget.java
+++ b/daemon/src/main/java/wheelroute/net/lifecycle/DescriptorBudget.java
@@ -2,6 +2,7 @@
 
 import wheelroute.config.Config;
 import wheelroute.net.admin.AdminServer;
+import wheelroute.net.clients.ClientServer;
 import wheelroute.net.handover.Handover;
 
 /** Divides the file descriptors that the process may use between clients and workers. */
@@ -28,6 +29,11 @@
         return (int) (CLIENT_FRACTION * available(config));
     }
 
+    /** Returns the maximum number of open client connections, with those over the limit. */
+    static int maxClientConnections(Config config) {
+        return ClientServer.maxOpenConnections(clientConnections(config));
+    }
+
     /** Returns the maximum number of connections to workers. */
     static int workerConnections(Config config) {
         return (int) (WORKER_FRACTION * available(config));
--- a/daemon/src/main/java/wheelroute/net/lifecycle/Service.java
+++ b/daemon/src/main/java/wheelroute/net/lifecycle/Service.java
@@ -58,7 +58,7 @@
 
     /** Creates a service on a given event loop, with which a test can delay events. */
     public Service(Config config, EventLoop loop) {
-        this(config, loop, HeapBudget.ofProcess());
+        this(config, loop, HeapBudget.ofProcess(DescriptorBudget.maxClientConnections(config)));
     }
 
     /** Creates a service on a given event loop and with a given budget of memory. */
--- a/daemon/src/main/java/wheelroute/net/memory/FairShareQuota.java
+++ b/daemon/src/main/java/wheelroute/net/memory/FairShareQuota.java
@@ -1,50 +1,73 @@
 package wheelroute.net.memory;
 
 /**
- * Limits the memory of many buffers together, so that a few large ones cannot exclude the others:
- * half of it is for whoever comes first, and of the other half each buffer has an equal share.
+ * Limits the memory of many holders together, so that a few large ones cannot exclude the others.
+ * One half is divided into shares, one for each holder that there can be, which no other holder can
+ * use. The other half is common: it is for what holders need beyond their shares, first come, first
+ * served.
  *
- * <p>Used on the event loop's thread only.
+ * <p>A holder keeps count of what it holds, and passes it to each call. Used on the event loop's
+ * thread only.
  */
 public final class FairShareQuota {
-    private final long halfBytes;
+    private final long commonLimitBytes;
+    private final long shareBytes;
+    private long commonBytes;
     private long reservedBytes;
-    private int buffers;
 
     /**
-     * Creates a quota without any buffers.
+     * Creates a quota without any reservations.
      *
-     * @param limitBytes the maximum number of bytes, which buffers exceed by at most what they
-     *     reserve at once
+     * @param limitBytes the maximum number of bytes, which only {@link #reserve} exceeds
+     * @param maxHolders the number of holders that there can be at the same time
      */
-    public FairShareQuota(long limitBytes) {
-        halfBytes = limitBytes / 2;
+    public FairShareQuota(long limitBytes, int maxHolders) {
+        commonLimitBytes = limitBytes / 2;
+        shareBytes = (limitBytes - commonLimitBytes) / maxHolders;
     }
 
-    /** Counts one more buffer, which has no memory yet. */
-    public void addBuffer() {
-        buffers++;
+    /**
+     * Reserves more memory for a holder, unless it is neither within the holder's share nor left of
+     * the common half.
+     *
+     * @return whether the memory was reserved
+     */
+    public boolean tryReserve(int heldBytes, int additionalBytes) {
+        long needed = commonBytesNeeded(heldBytes, additionalBytes);
+        if (needed > 0 && commonBytes + needed > commonLimitBytes) {
+            return false;
+        }
+        reserve(heldBytes, additionalBytes);
+        return true;
+    }
+
+    /** Reserves more memory for a holder, even over the limit, for what has been read already. */
+    public void reserve(int heldBytes, int additionalBytes) {
+        commonBytes += commonBytesNeeded(heldBytes, additionalBytes);
+        reservedBytes += additionalBytes;
+    }
+
+    /** Returns all memory of a holder to the quota. */
+    public void release(int heldBytes) {
+        reserve(heldBytes, -heldBytes);
     }
 
-    /** Removes a buffer together with its memory. */
-    public void removeBuffer(int reserved) {
-        buffers--;
-        reservedBytes -= reserved;
+    private long commonBytesNeeded(long heldBytes, int additionalBytes) {
+        return commonBytesOf(heldBytes + additionalBytes) - commonBytesOf(heldBytes);
     }
 
-    /** Reserves memory for a buffer. The caller asks {@link #isExhaustedFor} first. */
-    public void reserve(int bytes) {
-        reservedBytes += bytes;
+    private long commonBytesOf(long heldBytes) {
+        return Math.max(0, heldBytes - shareBytes);
     }
 
-    /** Whether only shares are left, so that buffers should reserve no more than they need. */
+    /** Whether only shares are left, so that holders should reserve no more than they need. */
     public boolean isScarce() {
-        return reservedBytes >= halfBytes;
+        return commonBytes >= commonLimitBytes;
     }
 
-    /** Whether a buffer with so many bytes has used up its share and nothing else is left. */
-    public boolean isExhaustedFor(int bufferedBytes) {
-        return isScarce() && bufferedBytes >= halfBytes / Math.max(1, buffers);
+    /** Whether a holder with so many bytes has used up its share and nothing else is left. */
+    public boolean isExhaustedFor(int heldBytes) {
+        return isScarce() && heldBytes >= shareBytes;
     }
 
     /** Returns the number of reserved bytes. */
--- a/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
+++ b/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
@@ -9,7 +9,7 @@
  */
 public final class HeapBudget {
     /** What is derived from the bodies takes as much memory again. */
-    private static final double REQUEST_BODIES_FRACTION = 0.25;
+    private static final double REQUESTS_FRACTION = 0.3;
 
     private static final double PIPELINED_INPUT_FRACTION = 0.1;
     private static final double RESPONSES_FRACTION = 0.12;
@@ -26,7 +26,7 @@
     /** Maximum memory for pipelined input on a large heap. */
     private static final long MAX_PIPELINED_INPUT_BYTES = 4L * 1024 * 1024;
 
-    private final MemoryQuota requestBodies;
+    private final FairShareQuota requests;
     private final FairShareQuota pipelinedInput;
     private final ResponseMemory responses;
 
@@ -34,20 +34,22 @@
      * Creates a budget without any reservations.
      *
      * @param heapBytes the maximum size of the heap
+     * @param maxClientConnections the number of clients' connections that there can be
      */
-    public HeapBudget(long heapBytes) {
-        requestBodies = new MemoryQuota((long) (REQUEST_BODIES_FRACTION * heapBytes));
+    public HeapBudget(long heapBytes, int maxClientConnections) {
+        requests = new FairShareQuota((long) (REQUESTS_FRACTION * heapBytes), maxClientConnections);
         pipelinedInput =
                 new FairShareQuota(
                         Math.min(
                                 MAX_PIPELINED_INPUT_BYTES,
-                                (long) (PIPELINED_INPUT_FRACTION * heapBytes)));
+                                (long) (PIPELINED_INPUT_FRACTION * heapBytes)),
+                        maxClientConnections);
         responses = new ResponseMemory((long) (RESPONSES_FRACTION * heapBytes));
     }
 
     /** Returns the budget of this process. */
-    public static HeapBudget ofProcess() {
-        return new HeapBudget(Runtime.getRuntime().maxMemory());
+    public static HeapBudget ofProcess(int maxClientConnections) {
+        return new HeapBudget(Runtime.getRuntime().maxMemory(), maxClientConnections);
     }
 
     /**
@@ -60,9 +62,9 @@
         return Math.max(MIN_ENDPOINT_LIST_BYTES, (long) (ENDPOINT_LIST_FRACTION * heapBytes));
     }
 
-    /** Returns the quota for the bodies of requests, from their arrival to the final response. */
-    public MemoryQuota requestBodies() {
-        return requestBodies;
+    /** Returns the quota for requests, from the first byte of the head to the final response. */
+    public FairShareQuota requests() {
+        return requests;
     }
 
     /** Returns the quota for input behind requests that have not been answered yet. */
--- a/daemon/src/main/java/wheelroute/net/requests/package-info.java
+++ b/daemon/src/main/java/wheelroute/net/requests/package-info.java
@@ -13,7 +13,8 @@
  *   <li>{@link wheelroute.net.clients.ClientRequestDecoder} and {@link
  *       wheelroute.net.clients.ClientRequest}, if the message is malformed, too large, or
  *       incomplete for too long (4xx).
- *   <li>{@link wheelroute.net.memory.MemoryQuota}, if there is no memory for the body (503).
+ *   <li>{@link wheelroute.net.memory.FairShareQuota}, if there is no memory for the head or the
+ *       body (503).
  *   <li>{@code RequestFactory}, if the request class is unknown or a required key is missing (4xx).
  *   <li>{@link wheelroute.net.requests.RequestDispatcher#accept}, if a request with the same id is
  *       open (409), or if the deadline has passed (503).
--- a/daemon/src/main/java/wheelroute/net/workers/AttemptResponseDecoder.java
+++ b/daemon/src/main/java/wheelroute/net/workers/AttemptResponseDecoder.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpStatus;
 import wheelroute.net.http.MalformedResponseException;
 import wheelroute.net.http.ResponseParser;
@@ -34,7 +35,11 @@
         void onComplete(boolean keepsOpen);
     }
 
-    private final ResponseParser parser = new ResponseParser(this);
+    private static final String NOT_PROCESSED_FIELD = "x-not-processed";
+    private static final String LOAD_FIELD = "x-server-load";
+
+    private final ResponseParser parser =
+            new ResponseParser(this, Set.of(NOT_PROCESSED_FIELD, LOAD_FIELD));
     private final LineBuffer lines = new LineBuffer(ResponseMemory.MAX_LINE_BYTES);
     private final Listener listener;
 
@@ -99,8 +104,8 @@
         hasStatusLines = status == HttpStatus.OK_200;
         if (!hasStatusLines) {
             finish(
-                    resultOf(status, "1".equals(fields.get("x-not-processed"))),
-                    WorkerStatusLine.freeSlotsInHeader(fields.get("x-server-load")));
+                    resultOf(status, "1".equals(fields.get(NOT_PROCESSED_FIELD))),
+                    WorkerStatusLine.freeSlotsInHeader(fields.get(LOAD_FIELD)));
         }
     }
 
--- a/daemon/src/test/java/wheelroute/net/ClientDisconnectTest.java
+++ b/daemon/src/test/java/wheelroute/net/ClientDisconnectTest.java
@@ -101,7 +101,7 @@
     public void cancelsAttemptWhenClientDisconnectsWhileOthersUseUpTheMemory(
             int pipelinedBytes, Disconnect disconnect) throws Exception {
         clock.stop();
-        heapBudget = new HeapBudget(SMALL_HEAP_BYTES);
+        heapBudget = new HeapBudget(SMALL_HEAP_BYTES, MAX_CLIENT_CONNECTIONS);
         maxTimeoutSeconds = 60;
         InetSocketAddress[] addresses = new InetSocketAddress[OTHER_CLIENTS + 1];
         for (int i = 0; i < addresses.length; i++) {
--- a/daemon/src/test/java/wheelroute/net/PipeliningTest.java
+++ b/daemon/src/test/java/wheelroute/net/PipeliningTest.java
@@ -117,7 +117,7 @@
     @Test(timeOut = TIMEOUT_MILLIS)
     public void rejectsInputForWhichThereIsNoRoomAfterServingWhatIsBuffered() throws Exception {
         workers.responses.addAll(List.of(SUCCESS, SUCCESS));
-        heapBudget = new HeapBudget(SMALL_HEAP_BYTES);
+        heapBudget = new HeapBudget(SMALL_HEAP_BYTES, MAX_CLIENT_CONNECTIONS);
         serve(Idempotency.NON_IDEMPOTENT, 1024, endpointList(workers.listen()));
         Socket client = connect();
         String large =
--- a/daemon/src/test/java/wheelroute/net/ServiceHarness.java
+++ b/daemon/src/test/java/wheelroute/net/ServiceHarness.java
@@ -40,6 +40,7 @@
 /** A dispatcher on loopback sockets, with stubs of clients, workers and discovery. */
 public abstract class ServiceHarness {
     protected static final int TIMEOUT_MILLIS = 20_000;
+    protected static final int MAX_CLIENT_CONNECTIONS = 500;
     private static final long POLL_NANOS = 1_000_000;
 
     /** Exceptions that the service has caught and logged; each fails the test that caused it. */
@@ -84,7 +85,7 @@
     protected boolean endpointsArePushed;
     protected ManualClock clock = new ManualClock();
     protected ControlledEventLoop loop;
-    protected HeapBudget heapBudget = HeapBudget.ofProcess();
+    protected HeapBudget heapBudget = HeapBudget.ofProcess(MAX_CLIENT_CONNECTIONS);
     protected Path handoverDirectory;
     protected Config config;
     protected Service service;
@@ -275,7 +276,7 @@
         service = null;
         healthCheckConnection = null;
         clock = new ManualClock();
-        heapBudget = HeapBudget.ofProcess();
+        heapBudget = HeapBudget.ofProcess(MAX_CLIENT_CONNECTIONS);
         endpointsArePushed = false;
         maxTimeoutSeconds = 2;
         maxRetryAfterSeconds = 2;
--- a/daemon/src/test/java/wheelroute/net/clients/ClientRequestDecoderTest.java
+++ b/daemon/src/test/java/wheelroute/net/clients/ClientRequestDecoderTest.java
@@ -12,16 +12,21 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import wheelroute.decision.PolicyHarness;
 import wheelroute.net.http.ResponseParser;
-import wheelroute.net.memory.MemoryQuota;
+import wheelroute.net.memory.FairShareQuota;
 import wheelroute.net.workers.AttemptRequest;
 
 public class ClientRequestDecoderTest {
-    private static final long QUOTA_BYTES = 100_000;
+    /** For a single connection, half of it is a share of its own. */
+    private static final long QUOTA_BYTES = 400_000;
+
+    /** With so many connections, the shares are too small to matter. */
+    private static final int MANY_CONNECTIONS = 1_000_000;
 
     /** Limit on the memory for one connection of a client and one of a worker together. */
     private static final long MAX_CONNECTION_BYTES = 20_000;
@@ -53,7 +58,8 @@
     @Test(dataProvider = "requests")
     public void decodesRequestSplitAnywhere(String text) throws BadRequestException {
         for (int cut = 1; cut < text.length(); cut++) {
-            ClientRequestDecoder decoder = new ClientRequestDecoder(new MemoryQuota(QUOTA_BYTES));
+            ClientRequestDecoder decoder =
+                    new ClientRequestDecoder(new FairShareQuota(QUOTA_BYTES, 1));
             assertNull(decoder.decode(bytes(text.substring(0, cut))), "request cut at " + cut);
             ClientRequest message = decoder.decode(bytes(text.substring(cut)));
             assertEquals(message.target(), "/render/a%20b?q=1&r");
@@ -84,9 +90,9 @@
         ResponseParser[] parsers = new ResponseParser[connections];
         Arrays.setAll(messages, i -> bytes(i % 4 < 2 ? POST : WORKER_RESPONSE));
         // The classes are loaded before the allocations are counted.
-        new ClientRequestDecoder(new MemoryQuota(QUOTA_BYTES)).decode(bytes(POST));
-        new ResponseParser(new IgnoringHandler()).parse(bytes(WORKER_RESPONSE));
-        MemoryQuota quota = new MemoryQuota(QUOTA_BYTES);
+        new ClientRequestDecoder(new FairShareQuota(QUOTA_BYTES, 1)).decode(bytes(POST));
+        new ResponseParser(new IgnoringHandler(), Set.of()).parse(bytes(WORKER_RESPONSE));
+        FairShareQuota quota = new FairShareQuota(100 * QUOTA_BYTES, connections);
         ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
         long thread = Thread.currentThread().getId();
         long before = threads.getThreadAllocatedBytes(thread);
@@ -94,7 +100,7 @@
             decoders[i] = new ClientRequestDecoder(quota);
             decoders[i].decode(messages[4 * i]);
             decoders[i].decode(messages[4 * i + 1]);
-            parsers[i] = new ResponseParser(new IgnoringHandler());
+            parsers[i] = new ResponseParser(new IgnoringHandler(), Set.of());
             parsers[i].parse(messages[4 * i + 2]);
             parsers[i].parse(messages[4 * i + 3]);
         }
@@ -123,7 +129,7 @@
 
     @Test
     public void decodesNextRequestWithoutFieldsOfThePreviousOne() throws BadRequestException {
-        ClientRequestDecoder decoder = new ClientRequestDecoder(new MemoryQuota(QUOTA_BYTES));
+        ClientRequestDecoder decoder = new ClientRequestDecoder(new FairShareQuota(QUOTA_BYTES, 1));
         ByteBuffer two =
                 bytes(POST + "GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
         decoder.decode(two);
@@ -160,7 +166,7 @@
     public void decodesNamesAndForwardsTargetUnchanged(String inPath, String name)
             throws BadRequestException {
         ClientRequest message =
-                new ClientRequestDecoder(new MemoryQuota(QUOTA_BYTES))
+                new ClientRequestDecoder(new FairShareQuota(QUOTA_BYTES, 1))
                         .decode(
                                 bytes(
                                         POST.replace("/render/", "/" + inPath + "/")
@@ -277,7 +283,7 @@
             String target = "/render/" + part;
             String head = "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
             assertEquals(
-                    new ClientRequestDecoder(new MemoryQuota(QUOTA_BYTES))
+                    new ClientRequestDecoder(new FairShareQuota(QUOTA_BYTES, 1))
                             .decode(bytes(head))
                             .target(),
                     target);
@@ -292,7 +298,7 @@
     }
 
     private static void decodeInPieces(ByteBuffer in) throws BadRequestException {
-        ClientRequestDecoder decoder = new ClientRequestDecoder(new MemoryQuota(QUOTA_BYTES));
+        ClientRequestDecoder decoder = new ClientRequestDecoder(new FairShareQuota(QUOTA_BYTES, 1));
         while (in.hasRemaining()) {
             ByteBuffer piece = in.slice(in.position(), Math.min(1000, in.remaining()));
             in.position(in.position() + piece.remaining());
@@ -300,15 +306,24 @@
         }
     }
 
+    /** A quota of which the first come get this much, and there is nothing else. */
+    private static FairShareQuota quotaOf(int bytes) {
+        return new FairShareQuota(2L * bytes, MANY_CONNECTIONS);
+    }
+
     @Test(dataProvider = "requests")
     public void rejectsBodyThatExceedsTheQuotaOfAllConnections(String text)
             throws BadRequestException {
-        MemoryQuota quota = new MemoryQuota(9);
+        String large =
+                text.replace("Content-Length: 5", "Content-Length: 5003")
+                        .replace("3\r\nllo", "1389\r\nllo" + "x".repeat(4998))
+                        .replace("\r\nhello", "\r\nhello" + "x".repeat(4998));
+        FairShareQuota quota = quotaOf(11_000);
         ClientRequestDecoder first = new ClientRequestDecoder(quota);
         ClientRequestDecoder second = new ClientRequestDecoder(quota);
-        first.decode(bytes(text));
+        first.decode(bytes(large));
         assertEquals(
-                expectThrows(BadRequestException.class, () -> second.decode(bytes(text))).status(),
+                expectThrows(BadRequestException.class, () -> second.decode(bytes(large))).status(),
                 503);
         second.release();
         first.release();
@@ -317,8 +332,39 @@
                 new ClientRequestDecoder(quota)
                         .decode(bytes(stalled.substring(0, stalled.length() - 3))));
         ClientRequestDecoder third = new ClientRequestDecoder(quota);
-        assertEquals(third.decode(bytes(text)).body().length, 5);
+        assertEquals(third.decode(bytes(large)).body().length, 5003);
         third.release();
-        assertTrue(quota.tryReserve(7));
+        assertTrue(quota.tryReserve(0, 9_000));
+    }
+
+    /** Guards against heads that nothing counts, of clients that send them without an end. */
+    @Test
+    public void rejectsHeadThatExceedsTheQuotaOfAllConnections() throws BadRequestException {
+        String head = "POST /render HTTP/1.1\r\nHost: a\r\n" + "a:1\r\n".repeat(1400);
+        FairShareQuota quota = quotaOf(50_000);
+        ClientRequestDecoder first = new ClientRequestDecoder(quota);
+        ClientRequestDecoder second = new ClientRequestDecoder(quota);
+        assertNull(first.decode(bytes(head)));
+        assertEquals(
+                expectThrows(BadRequestException.class, () -> second.decode(bytes(head))).status(),
+                503);
+        first.release();
+        ClientRequestDecoder third = new ClientRequestDecoder(quota);
+        ClientRequest request = third.decode(bytes(head + "Content-Length: 0\r\n\r\n"));
+        assertEquals(request.target(), "/render");
+        third.release();
+        assertEquals(quota.reservedBytes(), 0);
+    }
+
+    /** A field of six bytes would take some 130 bytes of the heap. */
+    @Test
+    public void keepsOnlyTheFieldsThatAreUsed() throws BadRequestException {
+        StringBuilder head = new StringBuilder("POST /render HTTP/1.1\r\nX-Request-ID: 9b1f\r\n");
+        for (int i = 0; i < 900; i++) {
+            head.append("x").append(i).append(":1\r\n");
+        }
+        ClientRequestDecoder decoder = new ClientRequestDecoder(new FairShareQuota(QUOTA_BYTES, 1));
+        assertNull(decoder.decode(bytes(head.toString())));
+        assertEquals(decoder.keptFieldCount(), 1);
     }
 }
--- a/kit/src/main/java/wheelroute/kit/process/ClientPool.java
+++ b/kit/src/main/java/wheelroute/kit/process/ClientPool.java
@@ -24,6 +24,7 @@
  */
 final class ClientPool {
     private static final double MIN_TIMEOUT_SECONDS = 0.001;
+    private static final String RETRY_AFTER_FIELD = "retry-after";
 
     private final EventLoop loop;
     private final InetSocketAddress address;
@@ -167,7 +168,7 @@
 
     private final class ClientConnection extends StreamConnection
             implements ResponseParser.Handler {
-        private final ResponseParser parser = new ResponseParser(this);
+        private final ResponseParser parser = new ResponseParser(this, Set.of(RETRY_AFTER_FIELD));
         private final WriteQueue out;
 
         /** The attempt whose response is awaited; null while the connection is idle. */
@@ -239,7 +240,7 @@
         public void onHeaders(int newStatus, Map<String, String> fields) {
             status = newStatus;
             retryAfterSeconds = 0;
-            String retryAfter = fields.get("retry-after");
+            String retryAfter = fields.get(RETRY_AFTER_FIELD);
             if (retryAfter != null && retryAfter.matches("\\d{1,9}(\\.\\d{1,9})?")) {
                 retryAfterSeconds = Double.parseDouble(retryAfter);
             }
--- a/kit/src/main/java/wheelroute/kit/process/ServerConnection.java
+++ b/kit/src/main/java/wheelroute/kit/process/ServerConnection.java
@@ -8,18 +8,18 @@
 import wheelroute.net.clients.ClientRequestDecoder;
 import wheelroute.net.loop.EventLoop;
 import wheelroute.net.loop.StreamConnection;
-import wheelroute.net.memory.MemoryQuota;
+import wheelroute.net.memory.FairShareQuota;
 
 /**
  * A connection that a stub has accepted. Decodes requests as strictly as the daemon does and
  * answers invalid ones with 400. Used on the event loop's thread.
  */
 public abstract class ServerConnection extends StreamConnection {
-    private static final long MAX_BODY_BYTES = 64L << 20;
+    private static final long MAX_REQUEST_BYTES = 64L << 20;
 
     protected final WriteQueue out;
     private final ClientRequestDecoder decoder =
-            new ClientRequestDecoder(new MemoryQuota(MAX_BODY_BYTES));
+            new ClientRequestDecoder(new FairShareQuota(MAX_REQUEST_BYTES, 1));
     private boolean isEnded;
 
     protected ServerConnection(EndPoint endPoint, EventLoop loop) {
