Use the responses of discovery's former address until the new one responds

Cause: a reload closed the open call, which the former address would still have answered, and the new watch began anew; a call that takes longer than the time to the next reload was never answered.

Change: the former address's watch is retired (EndpointWatch.startInPlaceOf): it makes no more calls, but responses to its open calls are used until a later address has responded, 4 s at most. Each response ends the use of all earlier addresses. Discovery gets no more calls than before.

--- a/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
@@ -203,7 +203,8 @@
     }
 
     private void callAgain(boolean keepsOpen) {
-        if (!watch.isCurrent(this)) {
+        if (!watch.mayContinue(this)) {
+            close();
             return;
         }
         if (keepsOpen) {
--- a/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCallPolicy.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCallPolicy.java
@@ -87,7 +87,7 @@
      * Duration of the state {@link State#CATCHING_UP} at a new address, whose complete list must
      * have been received after 4 s.
      */
-    private static final double NEW_ADDRESS_CATCH_UP_SECONDS = 4;
+    static final double NEW_ADDRESS_CATCH_UP_SECONDS = 4;
 
     /**
      * Timeout of a call while catching up in a small fleet, chosen so that two more calls fit into
--- a/daemon/src/main/java/wheelroute/net/discovery/EndpointWatch.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/EndpointWatch.java
@@ -21,7 +21,9 @@
  * Listener#onConfirmed}.
  *
  * <p>A watch that has been started either waits for a delay to pass, or has an open call, or has
- * been stopped. Confined to the event loop's thread.
+ * been stopped. The watch of a former address is retired: it makes no more calls, but the responses
+ * to those that it has made are used until the watch of the new address has one, see {@link
+ * #startInPlaceOf}. Confined to the event loop's thread.
  */
 public final class EndpointWatch {
     /** Receives the endpoint list, and events that concern the age of the list. */
@@ -56,6 +58,16 @@
     /** The list version of a watch that has no list yet. */
     public static final long NO_VERSION = -1;
 
+    /**
+     * How long the responses of a former address are used: until the list of the new address counts
+     * as known.
+     */
+    private static final double MAX_RETIREMENT_SECONDS =
+            DiscoveryCallPolicy.NEW_ADDRESS_CATCH_UP_SECONDS;
+
+    /** Maximum number of retired watches, which limits the connections after many reloads. */
+    private static final int MAX_RETIRED_WATCHES = 4;
+
     private static final Logger LOG = LoggerFactory.getLogger(EndpointWatch.class);
 
     private final EventLoop loop;
@@ -72,6 +84,12 @@
     private final LateCalls lateCalls = new LateCalls();
     private boolean stopped;
 
+    /** Whether discovery has another address now, so that this watch makes no more calls. */
+    private boolean retired;
+
+    /** The retired watch of the previous address; null if its responses are not used any more. */
+    private EndpointWatch predecessor;
+
     /**
      * The time of the last response, on the event loop's clock in seconds. Only used in log lines.
      */
@@ -111,16 +129,44 @@
 
     /**
      * Starts the watch after discovery's address has changed: calls at once, because the complete
-     * list of the new address is needed soon.
+     * list of the new address is needed soon. The previous watch is retired. If its responses were
+     * not used, no list would be received for as long as the address changes more often than
+     * discovery answers.
      */
-    public void startUrgently() {
+    public void startInPlaceOf(EndpointWatch previous) {
+        previous.retire();
+        if (previous.predecessorCount() < MAX_RETIRED_WATCHES) {
+            predecessor = previous;
+        } else {
+            // The oldest calls are kept, because they are the next to be answered.
+            predecessor = previous.predecessor;
+            previous.predecessor = null;
+            previous.stop();
+        }
+        loop.schedule(MAX_RETIREMENT_SECONDS, this::stopPredecessor);
         callPolicy.onNewAddress();
         open();
     }
 
+    private void retire() {
+        retired = true;
+    }
+
+    private int predecessorCount() {
+        return predecessor == null ? 0 : 1 + predecessor.predecessorCount();
+    }
+
+    private void stopPredecessor() {
+        if (predecessor != null) {
+            predecessor.stop();
+            predecessor = null;
+        }
+    }
+
     /** Stops the watch permanently. The listener is not called any more. */
     public void stop() {
         stopped = true;
+        stopPredecessor();
         if (call != null) {
             dropCall();
         }
@@ -141,7 +187,7 @@
     }
 
     private void open(boolean answeredBefore) {
-        if (call == null && !stopped) {
+        if (call == null && !stopped && !retired) {
             call = new DiscoveryCall(this, loop, address, counters, answeredBefore);
             call.open();
         }
@@ -158,6 +204,11 @@
         return call == candidate;
     }
 
+    /** Returns whether this call may be followed by another one on its connection. */
+    boolean mayContinue(DiscoveryCall candidate) {
+        return isCurrent(candidate) && !retired;
+    }
+
     /** Returns whether a response of this call is still of use, even if the call is late. */
     boolean awaitsResponse(DiscoveryCall candidate) {
         return isCurrent(candidate) || lateCalls.contains(candidate);
@@ -197,6 +248,7 @@
      */
     boolean onResponse(DiscoveryCall answered, byte[] json) throws IOException {
         boolean hasChanges = applyList(EndpointList.decode(json));
+        stopPredecessor();
         continueWith(answered);
         logRecovery();
         callPolicy.onResponse();
@@ -266,6 +318,10 @@
         if (!isCurrent(failed)) {
             return;
         }
+        if (retired) {
+            end(failed, kind);
+            return;
+        }
         consecutiveFailures++;
         LOG.info(
                 "endpoint watch failed: {} ({}); list version {} unconfirmed for {} s, {} consecutive failures",
@@ -277,18 +333,19 @@
         counters.count(Counters.Counter.DISCOVERY_FAILURES);
         CallFailure failure = failed.failure(kind);
         recordFailure(failure);
+        end(failed, kind);
+        openAfter(callPolicy.delayAfterFailure(failure));
+    }
+
+    /** Ends the open call, which has failed, but waits on for a response that may only be late. */
+    private void end(DiscoveryCall failed, CallFailure.Kind kind) {
         if (failed.mayBeAnsweredLate(kind)) {
-            keepWaiting();
+            failed.restartTimeout(callPolicy.lateResponseTimeout());
+            lateCalls.add(failed);
+            call = null;
         } else {
             dropCall();
         }
-        openAfter(callPolicy.delayAfterFailure(failure));
-    }
-
-    private void keepWaiting() {
-        call.restartTimeout(callPolicy.lateResponseTimeout());
-        lateCalls.add(call);
-        call = null;
     }
 
     private void recordFailure(CallFailure failure) {
--- a/daemon/src/main/java/wheelroute/net/lifecycle/ConfigReload.java
+++ b/daemon/src/main/java/wheelroute/net/lifecycle/ConfigReload.java
@@ -37,8 +37,7 @@
         }
         discovery = newConfig.discovery();
         LOG.info("reload: discovery changed to {}", discovery);
-        EndpointWatch watch = components.newWatch(discovery, EndpointWatch.NO_VERSION);
-        components.dispatcher.setWatch(watch);
-        watch.startUrgently();
+        components.dispatcher.replaceWatch(
+                components.newWatch(discovery, EndpointWatch.NO_VERSION));
     }
 }
--- a/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
+++ b/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
@@ -77,11 +77,14 @@
                         this::onEndpoints);
     }
 
-    /** Sets the endpoint watch, and stops the previous one, if any. */
+    /** Sets the endpoint watch, which is started when the policy asks for it. */
     public void setWatch(EndpointWatch newWatch) {
-        if (watch != null) {
-            watch.stop();
-        }
+        watch = newWatch;
+    }
+
+    /** Replaces the endpoint watch by that of discovery's new address, and starts it. */
+    public void replaceWatch(EndpointWatch newWatch) {
+        newWatch.startInPlaceOf(watch);
         watch = newWatch;
     }
 
--- a/daemon/src/test/java/wheelroute/net/SlowDiscoveryTest.java
+++ b/daemon/src/test/java/wheelroute/net/SlowDiscoveryTest.java
@@ -1,6 +1,7 @@
 package wheelroute.net;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static wheelroute.net.HttpMessages.HEALTH_CHECK;
 import static wheelroute.net.HttpMessages.endpointList;
@@ -11,6 +12,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -99,8 +102,12 @@
 
     /** Advances the clock, and waits until responses that are due then have been processed. */
     private void step(StubServer server) throws Exception {
+        step(List.of(server));
+    }
+
+    private void step(List<StubServer> servers) throws Exception {
         loop.advance(STEP_SECONDS);
-        while (server.answered.get()
+        while (servers.stream().mapToInt(server -> server.answered.get()).sum()
                 < calls.stream().filter(call -> call.isDue(loop.now(), version.get())).count()) {
             LockSupport.parkNanos(POLL_NANOS);
         }
@@ -180,6 +187,73 @@
         assertTrue(waited <= RELOAD_LIMIT_SECONDS, "received after " + waited + " s");
     }
 
+    @DataProvider
+    public Object[][] secondsBetweenReloadsAndPerCall() {
+        // Reloads before a change, seconds between reloads, seconds per call, number of addresses.
+        return new Object[][] {
+            {0, 1.2, 1.5, 11},
+            {0, 1.0, 1.2, 2},
+            {0, 1.5, 1.8, 2},
+            {0, 0.5, 1.5, 11},
+            {0, 0.2, 1.0, 11},
+            {7, 1.2, 1.5, 11},
+            {9, 0.5, 1.9, 11},
+        };
+    }
+
+    /** Guards against reloads in quick succession, each of which gives up the open call. */
+    @Test(dataProvider = "secondsBetweenReloadsAndPerCall", timeOut = 6 * TIMEOUT_MILLIS)
+    public void receivesChangesInTimeDespiteReloadsInQuickSuccession(
+            int reloadsBefore, double interval, double seconds, int addressCount) throws Exception {
+        answerAfter(discovery, seconds);
+        serveWithOneWorker();
+        List<StubServer> servers = new ArrayList<>(List.of(discovery));
+        List<Config> configs = new ArrayList<>();
+        for (int i = 0; i < addressCount; i++) {
+            StubServer server = new StubServer(open);
+            answerAfter(server, seconds);
+            servers.add(server);
+            configs.add(config(server.listen()));
+        }
+        double changedAt = Double.NaN;
+        for (int i = 0; metric("workers_listed") != workerCount() || i <= reloadsBefore; i++) {
+            if (i == reloadsBefore) {
+                version.incrementAndGet();
+                changedAt = loop.now();
+            }
+            assertFalse(
+                    loop.now() - changedAt > NOTIFICATION_LIMIT_SECONDS,
+                    "not received after " + (loop.now() - changedAt) + " s");
+            Config next = configs.get(i % addressCount);
+            service.reload(() -> next);
+            loop.awaitPendingTasks();
+            for (double due = loop.now() + interval; loop.now() < due; ) {
+                step(servers);
+            }
+        }
+    }
+
+    /** The first response of the new address ends the use of the former one. */
+    @Test(timeOut = TIMEOUT_MILLIS)
+    public void usesResponsesOfFormerAddressUntilTheNewOneResponds() throws Exception {
+        serveWithOneWorker();
+        discovery.nextFirstLine();
+        Socket former = discovery.lastConnection;
+        StubServer other = new StubServer(open);
+        Config changed = config(other.listen());
+        service.reload(() -> changed);
+        assertEquals(other.promptFirstLine(), "GET /v1/servers HTTP/1.1");
+        version.incrementAndGet();
+        send(former, okResponse(list()));
+        awaitMetric("workers_listed", 2);
+        assertEquals(discovery.closed.take().intValue(), 1);
+        version.incrementAndGet();
+        send(other.lastConnection, okResponse(list()));
+        awaitMetric("workers_listed", 3);
+        assertTrue(other.nextFirstLine().contains("from=7"));
+        assertEquals(discovery.messages.get(), 1);
+    }
+
     /** The response of the older call continues the watch, and the newer call is given up. */
     @Test(timeOut = TIMEOUT_MILLIS)
     public void continuesWithCallThatIsAnsweredAfterItsTimeout() throws Exception {
