Keep a call to discovery open that times out amid its response

Cause: a response that had begun failed when its next part took over 0.9 s, and its call was closed; the next call met the same pause. Only calls without any part of a response were kept as late.

Change: a call that times out amid its response is late as well (LateCalls, one of them, as its parts occupy memory), and the pause in the last response extends the timeout of the next one, so that regular pauses cause no further calls.

SlowDiscoveryTest: receivesChangesInTimeHoweverResponsesAreSplit fails in 7 of 9 rows before the change, callsDiscoveryNoMoreOftenWhenResponsesAreSplit in 1 of 9; none after.

--- a/daemon/src/main/java/wheelroute/net/discovery/CallProgress.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/CallProgress.java
@@ -29,6 +29,12 @@
     /** How long discovery may hold the open call; 0 if it may not. */
     private double holdSeconds;
 
+    /** The time of the last part of the response, on the event loop's clock in seconds. */
+    private double lastPartAt;
+
+    /** The longest time between two parts of the response. */
+    private double longestGapSeconds;
+
     /** Creates the progress of a call that starts now with its connect. */
     CallProgress(EventLoop loop) {
         this.loop = loop;
@@ -56,17 +62,25 @@
     boolean onResponseBytes() {
         boolean isFirst = phase != Phase.READING;
         phase = Phase.READING;
+        double now = loop.now();
+        longestGapSeconds = isFirst ? 0 : Math.max(longestGapSeconds, now - lastPartAt);
+        lastPartAt = now;
         return isFirst;
     }
 
+    /** Returns the longest time between two parts of the response so far, in seconds. */
+    double longestGapSeconds() {
+        return longestGapSeconds;
+    }
+
     /** Returns whether the connection has been established and a request has been sent. */
     boolean isConnected() {
         return phase != Phase.CONNECTING;
     }
 
-    /** Returns whether a request has been sent and no part of its response has arrived. */
-    boolean awaitsResponse() {
-        return phase == Phase.WAITING;
+    /** Returns whether a part of the response has arrived. */
+    boolean isReading() {
+        return phase == Phase.READING;
     }
 
     /** Returns how long discovery may hold the call, in seconds; 0 if it may not. */
--- a/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCall.java
@@ -96,7 +96,12 @@
 
     /** Returns whether a call that failed in this way may only be late. */
     boolean mayBeAnsweredLate(CallFailure.Kind kind) {
-        return kind == CallFailure.Kind.NO_RESPONSE && progress.awaitsResponse();
+        return kind == CallFailure.Kind.NO_RESPONSE && progress.isConnected();
+    }
+
+    /** Returns whether a part of the response has arrived. */
+    boolean isReadingResponse() {
+        return progress.isReading();
     }
 
     CallProgress progress() {
@@ -159,14 +164,16 @@
 
     /**
      * Restarts the timeout for a response that has begun. Further parts must keep arriving, and the
-     * response must be complete by its deadline.
+     * response must be complete by its deadline. A late call keeps its timeout.
      */
     private void onResponseBytes() {
         DiscoveryCallPolicy policy = watch.callPolicy();
         if (progress.onResponseBytes()) {
             responseDeadline = policy.responseDeadline();
         }
-        restartTimeout(policy.nextPartTimeout(responseDeadline));
+        if (watch.isCurrent(this)) {
+            restartTimeout(policy.nextPartTimeout(responseDeadline));
+        }
     }
 
     @Override
@@ -190,6 +197,7 @@
         boolean hasChanges = watch.onResponse(this, body.toByteArray());
         answeredBefore = true;
         DiscoveryCallPolicy policy = watch.callPolicy();
+        policy.onResponseGap(progress.longestGapSeconds());
         if (!hasChanges || !progress.isHeld()) {
             policy.onQueueWait(progress.durationSeconds() - progress.holdSeconds());
         }
--- a/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCallPolicy.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/DiscoveryCallPolicy.java
@@ -24,8 +24,8 @@
  *       <td>backoff, limited to the call rate that the fleet may use</td></tr>
  * </table>
  *
- * <p>A call that times out without any part of a response may still be answered within 4 s, while
- * the next call is made as usual; see {@link LateCalls}.
+ * <p>A call that times out may still be answered within 4 s, while the next call is made as usual;
+ * see {@link LateCalls}.
  *
  * <p>If the list is pushed, the delay after a failure is 0.2 s in each state.
  *
@@ -48,14 +48,17 @@
     /** A held call fails if no response arrives within this time after its hold. */
     private static final double HOLD_OVERRUN_TIMEOUT_SECONDS = 0.9;
 
-    /** A response that has begun fails if no further part of it arrives within this time. */
+    /**
+     * A response that has begun fails if no further part of it arrives within this time, in
+     * addition to the gaps in the last response.
+     */
     private static final double RESPONSE_GAP_TIMEOUT_SECONDS = HOLD_OVERRUN_TIMEOUT_SECONDS;
 
     /** A response that has begun must be complete within this time. */
     private static final double COMPLETE_RESPONSE_TIMEOUT_SECONDS = 3;
 
-    /** Shorter waits in the queue of discovery are within the timeouts, and are not counted. */
-    private static final double MIN_QUEUE_WAIT_SECONDS = HOLD_OVERRUN_TIMEOUT_SECONDS / 2;
+    /** Shorter waits for a response or a part of it are within the timeouts, and do not count. */
+    private static final double MIN_WAIT_SECONDS = HOLD_OVERRUN_TIMEOUT_SECONDS / 2;
 
     /**
      * How long a call may be answered after it has timed out. A slow discovery may leave a call in
@@ -126,6 +129,9 @@
     /** How long the last call waited in the queue of discovery, or 0 if that was short. */
     private double queueWaitSeconds;
 
+    /** The longest time between two parts of the last response, or 0 if that was short. */
+    private double responseGapSeconds;
+
     DiscoveryCallPolicy(EventLoop loop, EndpointWatch.WatchOptions options) {
         this.loop = loop;
         listIsPushed = options.listIsPushed();
@@ -175,7 +181,19 @@
      * next held call is held for less by as much, so that it neither times out nor takes longer.
      */
     void onQueueWait(double seconds) {
-        queueWaitSeconds = seconds < MIN_QUEUE_WAIT_SECONDS ? 0 : seconds;
+        queueWaitSeconds = longWait(seconds);
+    }
+
+    /**
+     * Records the longest time between two parts of a response. The next response may pause for as
+     * long without being taken for lost.
+     */
+    void onResponseGap(double seconds) {
+        responseGapSeconds = longWait(seconds);
+    }
+
+    private static double longWait(double seconds) {
+        return seconds < MIN_WAIT_SECONDS ? 0 : seconds;
     }
 
     /** Records a failed call; {@link #delayAfterFailure} then returns the delay after it. */
@@ -265,6 +283,7 @@
 
     /** Returns the timeout in seconds until the next part of a response arrives. */
     double nextPartTimeout(double responseDeadline) {
-        return Math.min(RESPONSE_GAP_TIMEOUT_SECONDS, responseDeadline - loop.now());
+        return Math.min(
+                responseGapSeconds + RESPONSE_GAP_TIMEOUT_SECONDS, responseDeadline - loop.now());
     }
 }
--- a/daemon/src/main/java/wheelroute/net/discovery/EndpointWatch.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/EndpointWatch.java
@@ -339,7 +339,7 @@
 
     /** Ends the open call, which has failed, but waits on for a response that may only be late. */
     private void end(DiscoveryCall failed, CallFailure.Kind kind) {
-        if (failed.mayBeAnsweredLate(kind)) {
+        if (failed.mayBeAnsweredLate(kind) && lateCalls.accepts(failed)) {
             failed.restartTimeout(callPolicy.lateResponseTimeout());
             lateCalls.add(failed);
             call = null;
--- a/daemon/src/main/java/wheelroute/net/discovery/LateCalls.java
+++ b/daemon/src/main/java/wheelroute/net/discovery/LateCalls.java
@@ -3,11 +3,12 @@
 import java.util.ArrayDeque;
 
 /**
- * The calls that have timed out without any part of a response, but stay open beside the next call.
+ * The calls that have timed out, but stay open beside the next call.
  *
- * <p>A timeout alone does not show whether a connection was lost or discovery is slow. A new call
- * is needed if the connection was lost; the old call is needed if discovery is slow, since it is
- * ahead of the new one in the queue of discovery. Whichever is answered first continues the watch.
+ * <p>A timeout alone does not show whether a connection was lost or discovery is slow, be it before
+ * its response or amid the parts of it. A new call is needed if the connection was lost; the old
+ * call is needed if discovery is slow, since it is ahead of the new one. Whichever is answered
+ * completely first continues the watch.
  *
  * <p>Confined to the event loop's thread.
  */
@@ -22,6 +23,15 @@
         return calls.contains(call);
     }
 
+    /**
+     * Returns whether a call that has timed out may be added. Of calls that have received a part of
+     * their response only one is kept, because a part of a list occupies memory.
+     */
+    boolean accepts(DiscoveryCall call) {
+        return !call.isReadingResponse()
+                || calls.stream().noneMatch(DiscoveryCall::isReadingResponse);
+    }
+
     /** Adds a call that has timed out. Closes the oldest one if there are too many. */
     void add(DiscoveryCall call) {
         calls.addLast(call);
--- a/daemon/src/test/java/wheelroute/net/SlowDiscoveryTest.java
+++ b/daemon/src/test/java/wheelroute/net/SlowDiscoveryTest.java
@@ -9,6 +9,7 @@
 import static wheelroute.net.HttpMessages.okResponse;
 import static wheelroute.net.HttpMessages.send;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -49,6 +50,7 @@
     private static final Pattern KNOWN_VERSION = Pattern.compile("from=(\\d+)&hold_ms=(\\d+)");
 
     private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
+    private final Queue<SplitResponse> splitResponses = new ConcurrentLinkedQueue<>();
     private final AtomicInteger version = new AtomicInteger();
     private Socket healthChecks;
 
@@ -100,6 +102,80 @@
         return "{\"version\":" + version + ",\"full\":false,\"servers\":[]}";
     }
 
+    /**
+     * A response that is sent in parts, with a pause before each but the first.
+     *
+     * @param partsSent the parts that were sent, without the last one
+     */
+    private record SplitResponse(
+            int parts, double pauseSeconds, double startedAt, AtomicInteger partsSent) {
+        double partDueAt(int part) {
+            return startedAt + part * pauseSeconds;
+        }
+
+        /** Whether all parts that are due have been sent, or are about to be sent as answers. */
+        boolean isUpToDate(double now) {
+            return partsSent.get() >= parts - 1 || partDueAt(partsSent.get()) > now;
+        }
+
+        boolean isComplete(double now) {
+            return partDueAt(parts - 1) <= now;
+        }
+    }
+
+    /** Makes discovery respond at once, but pause within each response. */
+    private void answerInParts(int parts, double pauseSeconds) {
+        discovery.defaultResponse =
+                () -> {
+                    Socket socket = discovery.lastConnection;
+                    Call call = queue(discovery.received.poll(), loop.now());
+                    while (!call.isDue(loop.now(), version.get())) {
+                        LockSupport.parkNanos(POLL_NANOS);
+                    }
+                    String text =
+                            okResponse(call.knownVersion < version.get() ? list() : noChanges());
+                    SplitResponse response =
+                            new SplitResponse(parts, pauseSeconds, loop.now(), new AtomicInteger());
+                    splitResponses.add(response);
+                    calls.remove(call);
+                    int length = text.length() / parts;
+                    for (int i = 0; i < parts - 1; i++) {
+                        awaitTime(response.partDueAt(i));
+                        sendPart(socket, text.substring(i * length, (i + 1) * length));
+                        response.partsSent.incrementAndGet();
+                    }
+                    awaitTime(response.partDueAt(parts - 1));
+                    return text.substring((parts - 1) * length);
+                };
+    }
+
+    private void awaitTime(double time) {
+        while (loop.now() < time) {
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+
+    private static void sendPart(Socket socket, String part) {
+        try {
+            send(socket, part);
+        } catch (IOException e) {
+            // The dispatcher has given up the call.
+        }
+    }
+
+    /** Advances the clock, and waits until all parts of responses that are due have been sent. */
+    private void stepWithSplitResponses() throws Exception {
+        loop.advance(STEP_SECONDS);
+        double now = loop.now();
+        while (calls.stream().anyMatch(call -> call.isDue(now, version.get()))
+                || splitResponses.stream().anyMatch(response -> !response.isUpToDate(now))
+                || discovery.answered.get()
+                        < splitResponses.stream().filter(r -> r.isComplete(now)).count()) {
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+        processInput();
+    }
+
     /** Advances the clock, and waits until responses that are due then have been processed. */
     private void step(StubServer server) throws Exception {
         step(List.of(server));
@@ -111,8 +187,15 @@
                 < calls.stream().filter(call -> call.isDue(loop.now(), version.get())).count()) {
             LockSupport.parkNanos(POLL_NANOS);
         }
-        // Each round trip is a pass of the event loop: a response is read in one of them, and the
-        // call after it is received by discovery in another.
+        processInput();
+    }
+
+    /**
+     * Waits until responses have been read and the calls after them have been sent. Each round trip
+     * is a pass of the event loop: a response is read in one of them, and the call after it is
+     * received by discovery in another.
+     */
+    private void processInput() throws Exception {
         for (int i = 0; i < 2; i++) {
             exchange(healthChecks, HEALTH_CHECK);
             loop.awaitPendingTasks();
@@ -122,6 +205,7 @@
     private void serveWithOneWorker() throws Exception {
         clock.stop();
         calls.clear();
+        splitResponses.clear();
         version.set(FIRST_VERSION);
         serve(Idempotency.IDEMPOTENT, 1024, list());
         healthChecks = connect();
@@ -187,6 +271,51 @@
         assertTrue(waited <= RELOAD_LIMIT_SECONDS, "received after " + waited + " s");
     }
 
+    @DataProvider
+    public Object[][] splitResponses() {
+        // Parts of a response, and the seconds between two of them.
+        return new Object[][] {
+            {2, 0.5}, {2, 1.0}, {2, 1.2}, {2, 1.9}, {2, 2.5}, {3, 1.0}, {3, 1.2}, {4, 0.9},
+            {20, 0.1},
+        };
+    }
+
+    /** Guards against responses that are given up because discovery pauses within them. */
+    @Test(dataProvider = "splitResponses", timeOut = 6 * TIMEOUT_MILLIS)
+    public void receivesChangesInTimeHoweverResponsesAreSplit(int parts, double pauseSeconds)
+            throws Exception {
+        answerInParts(parts, pauseSeconds);
+        serveWithOneWorker();
+        double startedAt = loop.now();
+        for (int i = 1; i <= CHANGES; i++) {
+            for (double due = startedAt + i * SECONDS_BETWEEN_CHANGES; loop.now() < due; ) {
+                stepWithSplitResponses();
+            }
+            version.incrementAndGet();
+            double changedAt = loop.now();
+            while (metric("workers_listed") != workerCount()) {
+                stepWithSplitResponses();
+                assertFalse(
+                        loop.now() - changedAt > NOTIFICATION_LIMIT_SECONDS,
+                        "change " + i + " was not received in time");
+            }
+        }
+    }
+
+    /** Pauses within responses must not be answered by more calls. */
+    @Test(dataProvider = "splitResponses", timeOut = 6 * TIMEOUT_MILLIS)
+    public void callsDiscoveryNoMoreOftenWhenResponsesAreSplit(int parts, double pauseSeconds)
+            throws Exception {
+        answerInParts(parts, pauseSeconds);
+        serveWithOneWorker();
+        double startedAt = loop.now();
+        while (loop.now() < startedAt + 40) {
+            stepWithSplitResponses();
+        }
+        double perSecond = service.counters().value(Counters.Counter.DISCOVERY_CALLS) / 40.0;
+        assertTrue(perSecond <= MAX_CALLS_PER_SECOND, perSecond + " calls a second");
+    }
+
     @DataProvider
     public Object[][] secondsBetweenReloadsAndPerCall() {
         // Reloads before a change, seconds between reloads, seconds per call, number of addresses.
