Remember attempts that may have run when a client sends a request again

Cause: an id was known while its request was open. After the client had left, its attempts were cancelled and the request removed; the same id was then a new request without earlier attempts.

Change: AttemptHistory keeps the attempts that may have run by the client's id, in memory that HeapBudget counts; RetryRules treats them as earlier attempts of the repeat; the processes of a replacement exchange them (message ran).

--- a/daemon/src/main/java/wheelroute/adapter/Adapter.java
+++ b/daemon/src/main/java/wheelroute/adapter/Adapter.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import wheelroute.adapter.EndpointListReader.EndpointList;
 import wheelroute.config.ConfigException;
@@ -182,7 +183,8 @@
                 slots,
                 memory,
                 (flags & IS_RETRY) != 0,
-                key == null ? null : new Ids.Key(key));
+                key == null ? null : new Ids.Key(key),
+                List.of());
     }
 
     private void onAttemptEnded() throws WireException {
--- a/daemon/src/main/java/wheelroute/decision/IdempotencyScope.java
+++ b/daemon/src/main/java/wheelroute/decision/IdempotencyScope.java
@@ -9,12 +9,12 @@
     /** Workers of the same cell. */
     CELL;
 
-    /** Returns whether either of the two workers recognizes a key that the other one has seen. */
-    public boolean covers(Endpoint a, Endpoint b) {
+    /** Returns whether a worker recognizes a key that the worker of an earlier attempt has seen. */
+    public boolean covers(EarlierAttempt earlier, Endpoint worker) {
         return switch (this) {
             case ALL -> true;
-            case ZONE -> a.zone().equals(b.zone());
-            case CELL -> a.cell().equals(b.cell());
+            case ZONE -> earlier.zone().equals(worker.zone());
+            case CELL -> earlier.cell().equals(worker.cell());
         };
     }
 }
--- a/daemon/src/main/java/wheelroute/decision/Request.java
+++ b/daemon/src/main/java/wheelroute/decision/Request.java
@@ -1,5 +1,7 @@
 package wheelroute.decision;
 
+import java.util.List;
+
 /**
  * A client's request.
  *
@@ -9,6 +11,8 @@
  * @param slots the number of slots of a worker that the request needs; less than 1 counts as 1
  * @param clientRetry whether the client marked the request as a retry
  * @param key the routing key; null if the request has none
+ * @param earlierAttempts the attempts that may have run of earlier requests with the same id; empty
+ *     for an idempotent request, which may run any number of times
  */
 public record Request(
         Ids.Request id,
@@ -19,4 +23,5 @@
         double slots,
         double memory,
         boolean clientRetry,
-        Ids.Key key) {}
+        Ids.Key key,
+        List<EarlierAttempt> earlierAttempts) {}
--- a/daemon/src/main/java/wheelroute/decision/RequestEvents.java
+++ b/daemon/src/main/java/wheelroute/decision/RequestEvents.java
@@ -1,5 +1,6 @@
 package wheelroute.decision;
 
+import java.util.List;
 import wheelroute.decision.state.Attempt;
 import wheelroute.decision.state.TrackedRequest;
 
@@ -21,6 +22,11 @@
         return request.isComplete();
     }
 
+    @Override
+    public List<EarlierAttempt> attemptsThatMayHaveRun() {
+        return request.attemptsThatMayHaveRun();
+    }
+
     @Override
     public void onClientGone() {
         request.markClosed();
--- a/daemon/src/main/java/wheelroute/decision/RequestHandle.java
+++ b/daemon/src/main/java/wheelroute/decision/RequestHandle.java
@@ -1,5 +1,7 @@
 package wheelroute.decision;
 
+import java.util.List;
+
 /**
  * An accepted request, from {@link Policy#accept} until its last attempt has ended. The caller of
  * the policy reports every event of the request to its handle.
@@ -12,6 +14,11 @@
     /** Returns whether the request needs no further answer and has no attempt in flight. */
     boolean isComplete();
 
+    /**
+     * Returns the attempts that may have run, of this request and of earlier ones with the same id.
+     */
+    List<EarlierAttempt> attemptsThatMayHaveRun();
+
     /**
      * Handles that the client is gone or has its answer. Nothing more is decided for the request.
      */
--- a/daemon/src/main/java/wheelroute/decision/retry/RetryRules.java
+++ b/daemon/src/main/java/wheelroute/decision/retry/RetryRules.java
@@ -1,6 +1,7 @@
 package wheelroute.decision.retry;
 
 import java.util.function.BooleanSupplier;
+import wheelroute.decision.EarlierAttempt;
 import wheelroute.decision.Idempotency;
 import wheelroute.decision.Ids;
 import wheelroute.decision.Outcome;
@@ -12,10 +13,10 @@
 import wheelroute.decision.state.WorkerState;
 
 /**
- * Enforces rule 2, that no request has its effect twice, and rule 3 while the endpoint list is
- * unconfirmed. Decides whether and on which workers a request may be attempted again, how an
- * attempt without a response is replaced, and whether the request may be rejected, which tells the
- * client that a retry is safe.
+ * Enforces rule 2, that no request has its effect twice even if its client sends it again, and rule
+ * 3 while the endpoint list is unconfirmed. Decides whether and on which workers a request may be
+ * attempted again, how an attempt without a response is replaced, and whether the request may be
+ * rejected, which tells the client that a retry is safe.
  */
 public record RetryRules(
         DecisionClock clock,
@@ -91,22 +92,29 @@
             if (earlier.worker() == worker && excludesWorker) {
                 return false;
             }
-            if (!recognizesRepeat(worker, earlier, request.settings())) {
-                return false;
-            }
+        }
+        if (!recognizesRepeat(worker, request)) {
+            return false;
         }
         Ids.Model model = request.settings().model();
         return model == null || model.equals(worker.endpoint().model());
     }
 
-    private boolean recognizesRepeat(
-            WorkerState worker, Attempt earlier, Settings.RequestClass requestClass) {
-        if (requestClass.idempotency() != Idempotency.IDEMPOTENT_BY_KEY || !earlier.mayHaveRun()) {
+    /** Returns whether a worker recognizes the key of every attempt that may have run. */
+    private boolean recognizesRepeat(WorkerState worker, TrackedRequest request) {
+        if (request.settings().idempotency() != Idempotency.IDEMPOTENT_BY_KEY
+                || !request.mayHaveRun()) {
             return true;
         }
+        return request.attemptsThatMayHaveRun().stream()
+                .allMatch(earlier -> recognizesRepeat(worker, earlier, request.settings()));
+    }
+
+    private boolean recognizesRepeat(
+            WorkerState worker, EarlierAttempt earlier, Settings.RequestClass requestClass) {
         double windowSeconds = requestClass.idempotencyWindowSeconds();
         return clock.now() <= earlier.sentAt() + windowSeconds - IDEMPOTENCY_WINDOW_MARGIN_SECONDS
-                && requestClass.idempotencyScope().covers(earlier.endpoint(), worker.endpoint());
+                && requestClass.idempotencyScope().covers(earlier, worker.endpoint());
     }
 
     /**
--- a/daemon/src/main/java/wheelroute/decision/state/Attempt.java
+++ b/daemon/src/main/java/wheelroute/decision/state/Attempt.java
@@ -1,5 +1,6 @@
 package wheelroute.decision.state;
 
+import wheelroute.decision.EarlierAttempt;
 import wheelroute.decision.Endpoint;
 import wheelroute.decision.Outcome;
 import wheelroute.decision.estimates.Candidate;
@@ -64,6 +65,11 @@
         return endpoint;
     }
 
+    /** Returns what restricts a later attempt, whether of this request or of one with its id. */
+    public EarlierAttempt asEarlier() {
+        return new EarlierAttempt(endpoint.zone(), endpoint.cell(), sentAt);
+    }
+
     /** Returns the time at which the attempt was sent, in seconds. */
     public double sentAt() {
         return sentAt;
--- a/daemon/src/main/java/wheelroute/decision/state/TrackedRequest.java
+++ b/daemon/src/main/java/wheelroute/decision/state/TrackedRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import wheelroute.decision.EarlierAttempt;
 import wheelroute.decision.Outcome;
 import wheelroute.decision.Request;
 import wheelroute.decision.Settings;
@@ -165,9 +166,17 @@
         return failed;
     }
 
-    /** Returns whether any attempt may have run at its worker. */
+    /** Returns whether any attempt may have run, of this request or an earlier one with its id. */
     public boolean mayHaveRun() {
-        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+        return !request.earlierAttempts().isEmpty()
+                || attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
+    /** Returns the attempts that may have run, of this request and of earlier ones with its id. */
+    public List<EarlierAttempt> attemptsThatMayHaveRun() {
+        List<EarlierAttempt> all = new ArrayList<>(request.earlierAttempts());
+        attempts.stream().filter(Attempt::mayHaveRun).map(Attempt::asEarlier).forEach(all::add);
+        return all;
     }
 
     /**
--- a/daemon/src/main/java/wheelroute/net/handover/Handover.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Handover.java
@@ -156,6 +156,14 @@
         peers.sendToAll(MessageType.REQUEST_OPENED, clientId);
     }
 
+    /**
+     * Sends the other processes the attempts that may have run of a request, before {@link
+     * #onRequestClosed}.
+     */
+    public void onAttemptsEnded(String entry) {
+        peers.sendToAll(MessageType.ATTEMPTS_ENDED, entry);
+    }
+
     /**
      * Notifies the other processes that the request with this client-given id is no longer open
      * here.
--- a/daemon/src/main/java/wheelroute/net/handover/MessageType.java
+++ b/daemon/src/main/java/wheelroute/net/handover/MessageType.java
@@ -11,6 +11,11 @@
     REQUEST_OPENED("open"),
     /** A request is no longer open; the body is its client-given id. */
     REQUEST_CLOSED("over"),
+    /**
+     * The attempts that may have run of a request that is no longer open, as JSON. Sent before
+     * {@link #REQUEST_CLOSED}, so that the receiver knows the request at any time.
+     */
+    ATTEMPTS_ENDED("ran"),
     /**
      * The number of processes on the far side of the sender, to which the receiver is not
      * connected.
--- a/daemon/src/main/java/wheelroute/net/handover/PeerMessageHandler.java
+++ b/daemon/src/main/java/wheelroute/net/handover/PeerMessageHandler.java
@@ -75,6 +75,7 @@
         switch (message.type()) {
             case REQUEST_OPENED -> peer.openRequestIds().add(message.body());
             case REQUEST_CLOSED -> peer.openRequestIds().remove(message.body());
+            case ATTEMPTS_ENDED -> state.importAttempts(message.body());
             case PROCESSES_BEHIND -> peers.setProcessesBehind(peer, parseCount(message.body()));
             case SERVING -> {
                 if (peer.role() == ProcessChain.Role.SUCCESSOR) {
@@ -122,6 +123,8 @@
         }
         successor.send(MessageType.LEARNED_STATE, state.exportLearnedState());
         sendOpenRequests(successor);
+        state.exportAttemptHistory()
+                .forEach(entry -> successor.send(MessageType.ATTEMPTS_ENDED, entry));
         successor.send(MessageType.TRANSFER_COMPLETE);
         LOG.info("handover begins: successor process connected");
     }
--- a/daemon/src/main/java/wheelroute/net/handover/TransferableState.java
+++ b/daemon/src/main/java/wheelroute/net/handover/TransferableState.java
@@ -15,6 +15,19 @@
     /** Returns a copy of the client-given ids of the requests that are open in this process. */
     Iterable<String> openRequestIds();
 
+    /**
+     * Returns the attempts that may have run of requests that are not open any more, as one line of
+     * text for each request.
+     */
+    Iterable<String> exportAttemptHistory();
+
+    /**
+     * Imports the attempts of one request of another process.
+     *
+     * @throws IOException if the text is malformed; nothing is imported then
+     */
+    void importAttempts(String entry) throws IOException;
+
     /**
      * Imports the endpoint list of a predecessor.
      *
--- a/daemon/src/main/java/wheelroute/net/lifecycle/ServiceComponents.java
+++ b/daemon/src/main/java/wheelroute/net/lifecycle/ServiceComponents.java
@@ -63,7 +63,12 @@
         this.counters = counters;
         dispatcher =
                 new RequestDispatcher(
-                        loop, counters, workers, config.settings(), config.maxTimeoutSeconds());
+                        loop,
+                        counters,
+                        workers,
+                        config.settings(),
+                        config.maxTimeoutSeconds(),
+                        heapBudget.attemptHistory());
         dispatcher.setWatch(newWatch(config.discovery(), importCachedEndpoints()));
         clients =
                 new ClientServer(
--- a/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
+++ b/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
@@ -23,12 +23,18 @@
     /** Lists up to this size, enough for some thousands of workers, are read on any heap. */
     private static final long MIN_ENDPOINT_LIST_BYTES = 1 << 20;
 
+    private static final double ATTEMPT_HISTORY_FRACTION = 0.05;
+
+    /** Maximum memory for the attempt history on a large heap, all of which one transfer sends. */
+    private static final long MAX_ATTEMPT_HISTORY_BYTES = 2L * 1024 * 1024;
+
     /** Maximum memory for pipelined input on a large heap. */
     private static final long MAX_PIPELINED_INPUT_BYTES = 4L * 1024 * 1024;
 
     private final FairShareQuota requests;
     private final FairShareQuota pipelinedInput;
     private final ResponseMemory responses;
+    private final MemoryQuota attemptHistory;
 
     /**
      * Creates a budget without any reservations.
@@ -45,6 +51,11 @@
                                 (long) (PIPELINED_INPUT_FRACTION * heapBytes)),
                         maxClientConnections);
         responses = new ResponseMemory((long) (RESPONSES_FRACTION * heapBytes));
+        attemptHistory =
+                new MemoryQuota(
+                        Math.min(
+                                MAX_ATTEMPT_HISTORY_BYTES,
+                                (long) (ATTEMPT_HISTORY_FRACTION * heapBytes)));
     }
 
     /** Returns the budget of this process. */
@@ -72,6 +83,11 @@
         return pipelinedInput;
     }
 
+    /** Returns the quota for the ids of requests that may have run, until they are forgotten. */
+    public MemoryQuota attemptHistory() {
+        return attemptHistory;
+    }
+
     /** Returns the memory for responses, from their arrival to the client's last byte. */
     public ResponseMemory responses() {
         return responses;
--- /dev/null
+++ b/daemon/src/main/java/wheelroute/net/requests/AttemptHistory.java
@@ -0,0 +1,117 @@
+package wheelroute.net.requests;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import wheelroute.decision.EarlierAttempt;
+import wheelroute.net.memory.MemoryQuota;
+
+/**
+ * Remembers the attempts that may have run of requests that are not open any more, by the ids that
+ * their clients gave them. A client that has left, or whose connection was lost, may send its
+ * request again, and must not cause a second effect. A request that arrives while there is no
+ * memory to remember it has to be rejected.
+ *
+ * <p>Used on the event loop's thread only. Times are on the event loop's clock, in seconds.
+ */
+final class AttemptHistory {
+    /** The memory for one request and its attempts, without the characters of its id. */
+    private static final int BYTES_PER_REQUEST = 250;
+
+    private final MemoryQuota quota;
+    private final double retentionSeconds;
+
+    /** In the order in which they are forgotten. */
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+
+    /**
+     * The attempts of a request.
+     *
+     * @param clientId the id that the client gave to the request
+     * @param forgetAt the time at which the request is forgotten
+     */
+    record Entry(String clientId, List<EarlierAttempt> attempts, double forgetAt) {}
+
+    /**
+     * Creates an empty history.
+     *
+     * @param retentionSeconds how long a request is remembered after its end: as long as its client
+     *     may wait for an answer, or a worker may recognize its key
+     */
+    AttemptHistory(MemoryQuota quota, double retentionSeconds) {
+        this.quota = quota;
+        this.retentionSeconds = retentionSeconds;
+    }
+
+    /** Returns whether one more request could be remembered. */
+    boolean hasMemory(String clientId, double now) {
+        forgetUntil(now);
+        boolean fits = quota.tryReserve(bytesOf(clientId));
+        if (fits) {
+            quota.release(bytesOf(clientId));
+        }
+        return fits;
+    }
+
+    /**
+     * Remembers a request that has ended.
+     *
+     * @param attempts all attempts that may have run; none if it is empty
+     * @return the entry; null if there is nothing to remember
+     */
+    Entry add(String clientId, List<EarlierAttempt> attempts, double now) {
+        if (attempts.isEmpty()) {
+            return null;
+        }
+        Entry entry = new Entry(clientId, List.copyOf(attempts), now + retentionSeconds);
+        put(entry, now);
+        return entry;
+    }
+
+    /** Adds an entry of another process, together with the attempts that are known here. */
+    void merge(Entry imported, double now) {
+        List<EarlierAttempt> attempts = new ArrayList<>(attemptsOf(imported.clientId(), now));
+        attempts.addAll(imported.attempts());
+        List<EarlierAttempt> distinct = attempts.stream().distinct().toList();
+        put(new Entry(imported.clientId(), distinct, now + retentionSeconds), now);
+    }
+
+    private void put(Entry entry, double now) {
+        forgetUntil(now);
+        // An entry that is replaced moves to the end.
+        if (entries.remove(entry.clientId()) == null) {
+            quota.reserve(bytesOf(entry.clientId()));
+        }
+        entries.put(entry.clientId(), entry);
+    }
+
+    /** Returns the attempts of the requests with this id; empty if none is remembered. */
+    List<EarlierAttempt> attemptsOf(String clientId, double now) {
+        Entry entry = entries.get(clientId);
+        return entry == null || entry.forgetAt() <= now ? List.of() : entry.attempts();
+    }
+
+    /** Returns a copy of all entries. */
+    List<Entry> all(double now) {
+        forgetUntil(now);
+        return new ArrayList<>(entries.values());
+    }
+
+    private void forgetUntil(double now) {
+        Iterator<Entry> oldest = entries.values().iterator();
+        while (oldest.hasNext()) {
+            Entry entry = oldest.next();
+            if (entry.forgetAt() > now) {
+                return;
+            }
+            oldest.remove();
+            quota.release(bytesOf(entry.clientId()));
+        }
+    }
+
+    private static int bytesOf(String clientId) {
+        return BYTES_PER_REQUEST + clientId.length();
+    }
+}
--- a/daemon/src/main/java/wheelroute/net/requests/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/requests/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import wheelroute.decision.EarlierAttempt;
 import wheelroute.decision.Ids;
 import wheelroute.decision.LoadReport;
 import wheelroute.decision.Policy;
@@ -217,14 +218,21 @@
                         // The policy has thrown, so that the effect of the attempts is unknown.
                         answer(Counters.FinalAnswer.FAILED, ClientResponse.failed());
                     }
-                    dispatcher.remove(request.id(), attemptRequest.id());
+                    remove();
                 });
     }
 
     private void removeIfComplete() {
         if (answeredOrAbandoned && handle.isComplete()) {
             deadlineTimer.cancel();
-            dispatcher.remove(request.id(), attemptRequest.id());
+            remove();
         }
     }
+
+    private void remove() {
+        // Without a handle the policy has thrown before any attempt.
+        List<EarlierAttempt> attempts =
+                handle == null ? List.of() : handle.attemptsThatMayHaveRun();
+        dispatcher.remove(request, attemptRequest.id(), attempts);
+    }
 }
--- a/daemon/src/main/java/wheelroute/net/requests/OpenRequests.java
+++ b/daemon/src/main/java/wheelroute/net/requests/OpenRequests.java
@@ -42,13 +42,19 @@
         }
     }
 
-    /** Removes a request; does nothing if the request was already removed. */
-    void remove(Ids.Request id, String clientId) {
-        if (exchanges.remove(id) != null) {
-            clientIds.remove(clientId);
-            if (handover != null) {
-                handover.onRequestClosed(clientId);
+    /**
+     * Removes a request.
+     *
+     * @param history an entry of the {@link AttemptHistory} for the other processes; null for none
+     */
+    void remove(Ids.Request id, String clientId, String history) {
+        exchanges.remove(id);
+        clientIds.remove(clientId);
+        if (handover != null) {
+            if (history != null) {
+                handover.onAttemptsEnded(history);
             }
+            handover.onRequestClosed(clientId);
         }
     }
 
--- a/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
+++ b/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
@@ -1,8 +1,10 @@
 package wheelroute.net.requests;
 
+import java.util.List;
 import org.eclipse.jetty.http.HttpStatus;
 import wheelroute.decision.ActionHandler;
 import wheelroute.decision.DispatcherShares;
+import wheelroute.decision.EarlierAttempt;
 import wheelroute.decision.Idempotency;
 import wheelroute.decision.Ids;
 import wheelroute.decision.Policy;
@@ -18,6 +20,7 @@
 import wheelroute.net.handover.Handover;
 import wheelroute.net.handover.TransferableState;
 import wheelroute.net.loop.EventLoop;
+import wheelroute.net.memory.MemoryQuota;
 import wheelroute.net.metrics.Counters;
 import wheelroute.net.metrics.Gauges;
 import wheelroute.net.workers.WorkerConnectionPools;
@@ -38,6 +41,7 @@
     private final OpenRequests openRequests = new OpenRequests();
     private final EndpointDirectory endpoints;
     private final DrainAdmission drainAdmission;
+    private final AttemptHistory attemptHistory;
     private final StateTransfer stateTransfer;
     private EndpointWatch watch;
     private ClientServer clients;
@@ -49,13 +53,15 @@
      * Creates a dispatcher together with its policy.
      *
      * @param maxTimeoutSeconds the maximum timeout of a request; a longer one is reduced to it
+     * @param historyQuota limits the memory of the {@link AttemptHistory}
      */
     public RequestDispatcher(
             EventLoop loop,
             Counters counters,
             WorkerConnectionPools workers,
             Settings settings,
-            double maxTimeoutSeconds) {
+            double maxTimeoutSeconds,
+            MemoryQuota historyQuota) {
         this.loop = loop;
         this.counters = counters;
         this.workers = workers;
@@ -67,6 +73,8 @@
         events = new SerialEventQueue(() -> policy.advanceTo(loop.now()));
         endpoints = new EndpointDirectory(workers, new StartTimes(loop));
         drainAdmission = new DrainAdmission(loop, settings, openRequests::hasSuccessor);
+        attemptHistory =
+                new AttemptHistory(historyQuota, retentionSeconds(settings, maxTimeoutSeconds));
         stateTransfer =
                 new StateTransfer(
                         loop,
@@ -74,9 +82,18 @@
                         events,
                         endpoints,
                         openRequests.clientIds(),
+                        attemptHistory,
                         this::onEndpoints);
     }
 
+    private static double retentionSeconds(Settings settings, double maxTimeoutSeconds) {
+        return settings.requestClasses().stream()
+                .filter(requestClass -> requestClass.idempotency() != Idempotency.IDEMPOTENT)
+                .mapToDouble(Settings.RequestClass::idempotencyWindowSeconds)
+                .filter(Double::isFinite)
+                .reduce(maxTimeoutSeconds, Math::max);
+    }
+
     /** Sets the endpoint watch, which is started when the policy asks for it. */
     public void setWatch(EndpointWatch newWatch) {
         watch = newWatch;
@@ -116,9 +133,24 @@
         return workers;
     }
 
-    /** Removes a request that has neither a response nor an attempt outstanding. */
-    void remove(Ids.Request id, String clientId) {
-        openRequests.remove(id, clientId);
+    /**
+     * Removes a request that has neither a response nor an attempt outstanding; does nothing if it
+     * was already removed.
+     *
+     * @param attempts the attempts that may have run
+     */
+    void remove(Request request, String clientId, List<EarlierAttempt> attempts) {
+        if (openRequests.get(request.id()) == null) {
+            return;
+        }
+        AttemptHistory.Entry entry =
+                requestFactory.isIdempotent(request)
+                        ? null
+                        : attemptHistory.add(clientId, attempts, loop.now());
+        openRequests.remove(
+                request.id(),
+                clientId,
+                entry == null ? null : AttemptHistoryCodec.encode(entry, loop.now()));
     }
 
     /** Records that a pending request has been answered or abandoned. */
@@ -143,8 +175,15 @@
             responses.send(ClientResponse.rejected(drainAdmission.retryAfterSeconds(0)));
             return () -> {};
         }
-        Request request = requestFactory.create(message, requestClass, deadline);
         boolean atMostOnce = requestClass.idempotency() != Idempotency.IDEMPOTENT;
+        if (atMostOnce && !attemptHistory.hasMemory(message.id(), loop.now())) {
+            onRejected(message);
+            responses.send(ClientResponse.rejected(ClientResponse.NO_RETRY_AFTER));
+            return () -> {};
+        }
+        List<EarlierAttempt> earlierAttempts =
+                atMostOnce ? attemptHistory.attemptsOf(message.id(), loop.now()) : List.of();
+        Request request = requestFactory.create(message, requestClass, deadline, earlierAttempts);
         Exchange exchange = new Exchange(this, loop, request, message, responses, atMostOnce);
         openRequests.add(request.id(), message.id(), exchange);
         counters.count(Counters.Counter.REQUESTS_ACCEPTED);
--- a/daemon/src/main/java/wheelroute/net/requests/RequestFactory.java
+++ b/daemon/src/main/java/wheelroute/net/requests/RequestFactory.java
@@ -1,8 +1,10 @@
 package wheelroute.net.requests;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpStatus;
+import wheelroute.decision.EarlierAttempt;
 import wheelroute.decision.Idempotency;
 import wheelroute.decision.Ids;
 import wheelroute.decision.Request;
@@ -69,6 +71,12 @@
         return requestClass;
     }
 
+    /** Returns whether a request may run any number of times. */
+    boolean isIdempotent(Request request) {
+        return requestClasses.get(request.requestClass().name()).idempotency()
+                == Idempotency.IDEMPOTENT;
+    }
+
     /**
      * Returns the deadline of a request, on the event loop's clock in seconds.
      *
@@ -83,7 +91,11 @@
     }
 
     /** Creates a request with a new id. */
-    Request create(ClientRequest message, Settings.RequestClass requestClass, double deadline) {
+    Request create(
+            ClientRequest message,
+            Settings.RequestClass requestClass,
+            double deadline,
+            List<EarlierAttempt> earlierAttempts) {
         return new Request(
                 new Ids.Request(++lastRequestId),
                 requestClass.id(),
@@ -93,6 +105,7 @@
                 message.slots(),
                 message.memory(),
                 message.clientRetry(),
-                message.routeKey() == null ? null : new Ids.Key(message.routeKey()));
+                message.routeKey() == null ? null : new Ids.Key(message.routeKey()),
+                earlierAttempts);
     }
 }
--- a/daemon/src/main/java/wheelroute/net/requests/StateTransfer.java
+++ b/daemon/src/main/java/wheelroute/net/requests/StateTransfer.java
@@ -23,6 +23,7 @@
     private final SerialEventQueue events;
     private final EndpointDirectory endpoints;
     private final Set<String> openRequestIds;
+    private final AttemptHistory attemptHistory;
     private final Consumer<EndpointList> endpointImporter;
 
     /**
@@ -37,12 +38,14 @@
             SerialEventQueue events,
             EndpointDirectory endpoints,
             Set<String> openRequestIds,
+            AttemptHistory attemptHistory,
             Consumer<EndpointList> endpointImporter) {
         this.loop = loop;
         this.policy = policy;
         this.events = events;
         this.endpoints = endpoints;
         this.openRequestIds = openRequestIds;
+        this.attemptHistory = attemptHistory;
         this.endpointImporter = endpointImporter;
     }
 
@@ -74,6 +77,20 @@
         events.run(() -> policy.importState(imported));
     }
 
+    @Override
+    public Iterable<String> exportAttemptHistory() {
+        double now = loop.now();
+        return attemptHistory.all(now).stream()
+                .map(entry -> AttemptHistoryCodec.encode(entry, now))
+                .toList();
+    }
+
+    @Override
+    public void importAttempts(String entry) throws IOException {
+        double now = loop.now();
+        attemptHistory.merge(AttemptHistoryCodec.decode(entry, now), now);
+    }
+
     @Override
     public Iterable<String> openRequestIds() {
         return new ArrayList<>(openRequestIds);
--- a/daemon/src/test/java/wheelroute/decision/retry/RetryRulesTest.java
+++ b/daemon/src/test/java/wheelroute/decision/retry/RetryRulesTest.java
@@ -4,10 +4,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
+import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import wheelroute.decision.EarlierAttempt;
 import wheelroute.decision.Idempotency;
 import wheelroute.decision.IdempotencyScope;
+import wheelroute.decision.Ids;
 import wheelroute.decision.Outcome;
 import wheelroute.decision.PolicyHarness;
 import wheelroute.decision.RequestHandle;
@@ -173,4 +177,48 @@
         harness.endAttempt(handle, 0, Outcome.CANCELLED);
         assertEquals(harness.countActions("attempt"), 2);
     }
+
+    @DataProvider
+    public Object[][] earlierAttempts() {
+        return new Object[][] {
+            // idempotency, scope, cell of the earlier attempt, its age, workers that may get it
+            {Idempotency.NON_IDEMPOTENT, IdempotencyScope.ALL, 1L, 1.0, Set.of()},
+            {Idempotency.IDEMPOTENT_BY_KEY, IdempotencyScope.ALL, 9L, 1.0, Set.of(1L, 2L, 3L, 4L)},
+            {Idempotency.IDEMPOTENT_BY_KEY, IdempotencyScope.CELL, 1L, 1.0, Set.of(1L, 2L)},
+            {Idempotency.IDEMPOTENT_BY_KEY, IdempotencyScope.CELL, 1L, 19.4, Set.of(1L, 2L)},
+            {Idempotency.IDEMPOTENT_BY_KEY, IdempotencyScope.CELL, 1L, 19.6, Set.of()},
+            {Idempotency.IDEMPOTENT_BY_KEY, IdempotencyScope.CELL, 9L, 1.0, Set.of()},
+            {Idempotency.IDEMPOTENT_BY_KEY, IdempotencyScope.ALL, 1L, 19.6, Set.of()},
+        };
+    }
+
+    /** Guards against a second effect of a request that the client sends again with its id. */
+    @Test(dataProvider = "earlierAttempts")
+    public void restrictsRequestByAttemptsOfEarlierOneWithItsId(
+            Idempotency idempotency,
+            IdempotencyScope scope,
+            long cell,
+            double age,
+            Set<Long> workers) {
+        for (int i = 0; i < 20; i++) {
+            PolicyHarness harness = PolicyHarness.of(idempotency, scope).listWorkers(4);
+            harness.advance(100 + i);
+            EarlierAttempt earlier =
+                    new EarlierAttempt(new Ids.Zone("here"), new Ids.Cell(cell), harness.now - age);
+            RequestHandle handle =
+                    harness.accept("job", "", 0.1, harness.now + 10, null, List.of(earlier));
+            if (workers.isEmpty()) {
+                // Where all workers recognize the key, a retry by the client is considered safe.
+                String answer =
+                        scope == IdempotencyScope.ALL && idempotency != Idempotency.NON_IDEMPOTENT
+                                ? "reject"
+                                : "fail";
+                assertTrue(harness.lastAction().startsWith(answer), harness.actions.toString());
+                assertEquals(harness.countActions("attempt"), 0);
+            } else {
+                assertTrue(workers.contains(harness.lastWorker()), harness.actions.toString());
+                assertEquals(handle.attemptsThatMayHaveRun().size(), 2);
+            }
+        }
+    }
 }
--- a/kit/src/main/java/wheelroute/kit/simulation/SimulatedRequest.java
+++ b/kit/src/main/java/wheelroute/kit/simulation/SimulatedRequest.java
@@ -46,7 +46,8 @@
                         requestClass.slots(),
                         requestClass.memory(),
                         clientAttempt.number() > 0,
-                        null);
+                        null,
+                        List.of());
     }
 
     ClientAttempt clientAttempt() {
