--- a/daemon/src/test/java/wheelroute/FloodingClientsTest.java
+++ b/daemon/src/test/java/wheelroute/FloodingClientsTest.java
@@ -13,8 +13,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -33,9 +31,6 @@
 public class FloodingClientsTest {
     private static final int TIMEOUT_MILLIS = 90_000;
 
-    /** The smallest heap that {@code deploy/run.sh} gives a dispatcher. */
-    private static final int HEAP_MEGABYTES = 16;
-
     private static final int DESCRIPTORS = 512;
     private static final int FLOODING_CLIENTS = 48;
     private static final int USUAL_REQUESTS = 60;
@@ -112,19 +107,6 @@
         }
     }
 
-    private static String config(int worker, int discovery) {
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-                + discovery
-                + "\",\"limits\":{\"sockets\":"
-                + DESCRIPTORS
-                + "},\"known\":{\"version\":5,\"full\":true,\"servers\":[{\"id\":\"w\",\"addr\":\"127.0.0.1:"
-                + worker
-                + "\",\"zone\":\"here\",\"kind\":\"m\",\"cell\":1,\"state\":\"ready\"}]},"
-                + "\"settings\":{\"request_classes\":[{\"name\":\"job\",\"effect\":\"free\","
-                + "\"on_time_us\":500000,\"worth\":1,\"hard_limit_us\":20000000}],"
-                + "\"permissions\":{\"cancel\":true,\"most_tries\":3,\"connect_timeout_us\":500000}}}";
-    }
-
     /** Sends at full speed, reads what comes back, and connects again whenever that ends. */
     private void flood(int port, Flood flood) throws InterruptedException {
         while (flooding) {
@@ -184,16 +166,13 @@
 
     @Test(dataProvider = "floods", timeOut = TIMEOUT_MILLIS)
     public void answersUsualRequestsInTimeBesideFloodingClients(Flood flood) throws Exception {
-        ServerSocket silentDiscovery = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        resources.add(silentDiscovery);
-        Path directory = Files.createTempDirectory("wheelroute");
         DispatcherProcess process =
-                DispatcherProcess.start(
-                        directory,
-                        config(startWorker(), silentDiscovery.getLocalPort()),
+                LoadedProcess.start(
+                        resources,
                         DESCRIPTORS,
-                        HEAP_MEGABYTES);
-        resources.add(process);
+                        List.of(startWorker()),
+                        "\"on_time_us\":500000,\"hard_limit_us\":20000000",
+                        "\"cancel\":true,\"most_tries\":3");
         flooding = true;
         for (int i = 0; i < FLOODING_CLIENTS; i++) {
             BackgroundTask.start(() -> flood(process.port(), flood));
@@ -211,7 +190,6 @@
         assertTrue(process.isAlive(), process.log());
         assertTrue(problems.isEmpty(), problems + "\n" + process.log());
         assertEquals(process.terminate(), 0, process.log());
-        Files.deleteIfExists(directory.resolve("config.json"));
     }
 
     @AfterMethod(alwaysRun = true)
--- a/daemon/src/test/java/wheelroute/LongResponsesTest.java
+++ b/daemon/src/test/java/wheelroute/LongResponsesTest.java
@@ -12,8 +12,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -22,7 +20,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
-import java.util.stream.Collectors;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -31,9 +28,6 @@
     private static final int TIMEOUT_MILLIS = 90_000;
     private static final int READ_TIMEOUT_MILLIS = 30_000;
 
-    /** The smallest heap that {@code deploy/run.sh} gives a dispatcher. */
-    private static final int HEAP_MEGABYTES = 16;
-
     private static final int DESCRIPTORS = 512;
     private static final int WORKERS = 12;
 
@@ -73,29 +67,6 @@
         send(socket, line.substring(FIRST_PART_BYTES) + "\r\n0\r\n\r\n");
     }
 
-    private static String config(List<Integer> workers, int discovery) {
-        String entries =
-                workers.stream()
-                        .map(
-                                port ->
-                                        "{\"id\":\"w"
-                                                + port
-                                                + "\",\"addr\":\"127.0.0.1:"
-                                                + port
-                                                + "\",\"zone\":\"here\",\"kind\":\"m\",\"cell\":1,"
-                                                + "\"state\":\"ready\"}")
-                        .collect(Collectors.joining(","));
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-                + discovery
-                + "\",\"limits\":{\"sockets\":"
-                + DESCRIPTORS
-                + "},\"known\":{\"version\":5,\"full\":true,\"servers\":["
-                + entries
-                + "]},\"settings\":{\"request_classes\":[{\"name\":\"job\",\"effect\":\"free\","
-                + "\"on_time_us\":50000000,\"worth\":1,\"hard_limit_us\":60000000}],"
-                + "\"permissions\":{\"cancel\":false,\"most_tries\":1,\"connect_timeout_us\":500000}}}";
-    }
-
     private void sendRequest(int port, int number) throws IOException {
         Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
         resources.add(client);
@@ -116,16 +87,13 @@
         for (int i = 0; i < WORKERS; i++) {
             workers.add(startWorker());
         }
-        ServerSocket silentDiscovery = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        resources.add(silentDiscovery);
-        Path directory = Files.createTempDirectory("wheelroute");
         DispatcherProcess process =
-                DispatcherProcess.start(
-                        directory,
-                        config(workers, silentDiscovery.getLocalPort()),
+                LoadedProcess.start(
+                        resources,
                         DESCRIPTORS,
-                        HEAP_MEGABYTES);
-        resources.add(process);
+                        workers,
+                        "\"on_time_us\":50000000,\"hard_limit_us\":60000000",
+                        "\"cancel\":false,\"most_tries\":1");
         for (int i = 0; i < REQUESTS; i++) {
             int number = i;
             BackgroundTask.start(() -> sendRequest(process.port(), number));
@@ -148,7 +116,6 @@
                 REQUESTS - incompleteResponses.get(),
                 process.log());
         assertTrue(incompleteResponses.get() >= MIN_RESPONSES, process.log());
-        Files.deleteIfExists(directory.resolve("config.json"));
     }
 
     @AfterMethod(alwaysRun = true)
--- a/daemon/src/test/java/wheelroute/UnfinishedRequestsTest.java
+++ b/daemon/src/test/java/wheelroute/UnfinishedRequestsTest.java
@@ -13,8 +13,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -30,9 +28,6 @@
     private static final int TIMEOUT_MILLIS = 90_000;
     private static final int READ_TIMEOUT_MILLIS = 30_000;
 
-    /** The smallest heap that {@code deploy/run.sh} gives a dispatcher. */
-    private static final int HEAP_MEGABYTES = 16;
-
     private static final int DESCRIPTORS = 1024;
     private static final int CLIENTS = 460;
 
@@ -114,19 +109,6 @@
         }
     }
 
-    private static String config(int worker, int discovery) {
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
-                + discovery
-                + "\",\"limits\":{\"sockets\":"
-                + DESCRIPTORS
-                + "},\"known\":{\"version\":5,\"full\":true,\"servers\":[{\"id\":\"w\",\"addr\":\"127.0.0.1:"
-                + worker
-                + "\",\"zone\":\"here\",\"kind\":\"m\",\"cell\":1,\"state\":\"ready\"}]},"
-                + "\"settings\":{\"request_classes\":[{\"name\":\"job\",\"effect\":\"free\","
-                + "\"on_time_us\":5000000,\"worth\":1,\"hard_limit_us\":6000000}],"
-                + "\"permissions\":{\"cancel\":true,\"most_tries\":3,\"connect_timeout_us\":500000}}}";
-    }
-
     private Socket connect(int port) throws IOException {
         Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
         resources.add(client);
@@ -147,16 +129,13 @@
     @Test(dataProvider = "requests", timeOut = TIMEOUT_MILLIS)
     public void servesOthersBesideHundredsOfUnfinishedRequests(UnfinishedRequest request)
             throws Exception {
-        ServerSocket silentDiscovery = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        resources.add(silentDiscovery);
-        Path directory = Files.createTempDirectory("wheelroute");
         DispatcherProcess process =
-                DispatcherProcess.start(
-                        directory,
-                        config(startWorker(), silentDiscovery.getLocalPort()),
+                LoadedProcess.start(
+                        resources,
                         DESCRIPTORS,
-                        HEAP_MEGABYTES);
-        resources.add(process);
+                        List.of(startWorker()),
+                        "\"on_time_us\":5000000,\"hard_limit_us\":6000000",
+                        "\"cancel\":true,\"most_tries\":3");
         String usual =
                 HEAD_START + "X-Request-ID: 77\r\nX-Timeout: 5\r\nContent-Length: 2\r\n\r\nhi";
         for (int round = 0; round < ROUNDS; round++) {
@@ -165,7 +144,6 @@
             assertEquals(statusOf(exchange(connect(process.port()), usual)), 200, process.log());
         }
         assertEquals(process.terminate(), 0, process.log());
-        Files.deleteIfExists(directory.resolve("config.json"));
     }
 
     @AfterMethod(alwaysRun = true)
