Limit how long requests are remembered because of their keys

Cause: a request was remembered for the whole time in which workers recognize its key; with a window of hours the history would fill up, and requests that must not run twice would be rejected for as long.

Change: 60 s at most because of the key, and at least the longest timeout of a client.

--- a/daemon/src/main/java/wheelroute/net/requests/AttemptHistory.java
+++ b/daemon/src/main/java/wheelroute/net/requests/AttemptHistory.java
@@ -20,6 +20,12 @@
     /** The memory for one request and its attempts, without the characters of its id. */
     private static final int BYTES_PER_REQUEST = 250;
 
+    /**
+     * The longest time for which a request is remembered because workers recognize its key: a
+     * window of hours would use up the memory, and its client has given up long before.
+     */
+    private static final double MAX_WINDOW_SECONDS = 60;
+
     private final MemoryQuota quota;
     private final double retentionSeconds;
 
@@ -37,12 +43,12 @@
     /**
      * Creates an empty history.
      *
-     * @param retentionSeconds how long a request is remembered after its end: as long as its client
-     *     may wait for an answer, or a worker may recognize its key
+     * @param maxTimeoutSeconds the longest time that a client may wait for an answer
+     * @param windowSeconds the longest time for which workers recognize a key
      */
-    AttemptHistory(MemoryQuota quota, double retentionSeconds) {
+    AttemptHistory(MemoryQuota quota, double maxTimeoutSeconds, double windowSeconds) {
         this.quota = quota;
-        this.retentionSeconds = retentionSeconds;
+        retentionSeconds = Math.max(maxTimeoutSeconds, Math.min(windowSeconds, MAX_WINDOW_SECONDS));
     }
 
     /** Returns whether one more request could be remembered. */
--- a/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
+++ b/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
@@ -74,7 +74,7 @@
         endpoints = new EndpointDirectory(workers, new StartTimes(loop));
         drainAdmission = new DrainAdmission(loop, settings, openRequests::hasSuccessor);
         attemptHistory =
-                new AttemptHistory(historyQuota, retentionSeconds(settings, maxTimeoutSeconds));
+                new AttemptHistory(historyQuota, maxTimeoutSeconds, longestWindowSeconds(settings));
         stateTransfer =
                 new StateTransfer(
                         loop,
@@ -86,12 +86,11 @@
                         this::onEndpoints);
     }
 
-    private static double retentionSeconds(Settings settings, double maxTimeoutSeconds) {
+    private static double longestWindowSeconds(Settings settings) {
         return settings.requestClasses().stream()
-                .filter(requestClass -> requestClass.idempotency() != Idempotency.IDEMPOTENT)
+                .filter(requestClass -> requestClass.idempotency() == Idempotency.IDEMPOTENT_BY_KEY)
                 .mapToDouble(Settings.RequestClass::idempotencyWindowSeconds)
-                .filter(Double::isFinite)
-                .reduce(maxTimeoutSeconds, Math::max);
+                .reduce(0, Math::max);
     }
 
     /** Sets the endpoint watch, which is started when the policy asks for it. */
--- a/daemon/src/test/java/wheelroute/net/requests/AttemptHistoryTest.java
+++ b/daemon/src/test/java/wheelroute/net/requests/AttemptHistoryTest.java
@@ -25,7 +25,7 @@
     private final MemoryQuota quota = new MemoryQuota(QUOTA_BYTES);
 
     private AttemptHistory history() {
-        return new AttemptHistory(new MemoryQuota(QUOTA_BYTES), RETENTION_SECONDS);
+        return new AttemptHistory(new MemoryQuota(QUOTA_BYTES), RETENTION_SECONDS, 20);
     }
 
     @Test
@@ -39,10 +39,26 @@
         assertEquals(history.all(130), List.of());
     }
 
+    @DataProvider
+    public Object[][] retentions() {
+        // The longest timeout, the longest window, and how long requests are remembered.
+        return new Object[][] {{20.0, 5.0, 20.0}, {20.0, 30.0, 30.0}, {20.0, 7200.0, 60.0}};
+    }
+
+    /** Guards against rejections because a window of hours uses up the memory. */
+    @Test(dataProvider = "retentions")
+    public void forgetsRequestsAfterTimeoutAndWindow(
+            double timeoutSeconds, double windowSeconds, double retentionSeconds) {
+        AttemptHistory history = new AttemptHistory(quota, timeoutSeconds, windowSeconds);
+        history.add("one", List.of(ATTEMPT), 100);
+        assertEquals(history.all(100 + retentionSeconds - 0.1).size(), 1);
+        assertEquals(history.all(100 + retentionSeconds), List.of());
+    }
+
     /** Guards against memory that grows with each new id. */
     @Test
     public void hasMemoryForLimitedNumberOfRequests() {
-        AttemptHistory history = new AttemptHistory(quota, RETENTION_SECONDS);
+        AttemptHistory history = new AttemptHistory(quota, 20, RETENTION_SECONDS);
         int count = 0;
         while (history.hasMemory("id" + count, 100)) {
             history.add("id" + count++, List.of(ATTEMPT), 100);
