Encode and collect earlier attempts only where they are needed

Cause: read again, the change that remembers attempts did work in the wrong place. Each request that must not run twice had its history encoded as JSON even without another process; the attempts of idempotent requests were collected and dropped; and for each worker that was considered, a list of the attempts was built and streamed. RequestFactory told anew what the exchange knows, an entry had a time that its codec could not give, and the check for memory reserved and released.

Change: the entry is encoded if there are peers; only requests that must not run twice collect attempts, by AttemptRequest.atMostOnce; RetryRules loops over the attempts; AttemptHistory keeps the time beside the entry; MemoryQuota.hasRoomFor. Behaviour is unchanged; the tests keep their assertions, and two of them construct an entry without the time.

--- a/daemon/src/main/java/wheelroute/decision/retry/RetryRules.java
+++ b/daemon/src/main/java/wheelroute/decision/retry/RetryRules.java
@@ -93,7 +93,8 @@
                 return false;
             }
         }
-        if (!recognizesRepeat(worker, request)) {
+        if (request.settings().idempotency() == Idempotency.IDEMPOTENT_BY_KEY
+                && !recognizesRepeat(worker, request)) {
             return false;
         }
         Ids.Model model = request.settings().model();
@@ -102,12 +103,18 @@
 
     /** Returns whether a worker recognizes the key of every attempt that may have run. */
     private boolean recognizesRepeat(WorkerState worker, TrackedRequest request) {
-        if (request.settings().idempotency() != Idempotency.IDEMPOTENT_BY_KEY
-                || !request.mayHaveRun()) {
-            return true;
+        for (Attempt attempt : request.attempts()) {
+            if (attempt.mayHaveRun()
+                    && !recognizesRepeat(worker, attempt.asEarlier(), request.settings())) {
+                return false;
+            }
+        }
+        for (EarlierAttempt earlier : request.request().earlierAttempts()) {
+            if (!recognizesRepeat(worker, earlier, request.settings())) {
+                return false;
+            }
         }
-        return request.attemptsThatMayHaveRun().stream()
-                .allMatch(earlier -> recognizesRepeat(worker, earlier, request.settings()));
+        return true;
     }
 
     private boolean recognizesRepeat(
--- a/daemon/src/main/java/wheelroute/net/handover/Handover.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Handover.java
@@ -1,6 +1,7 @@
 package wheelroute.net.handover;
 
 import java.nio.file.Path;
+import java.util.function.Supplier;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import wheelroute.net.loop.EventLoop;
@@ -159,8 +160,10 @@
     /**
      * Sends the other processes the attempts that may have run of a request, before {@link
      * #onRequestClosed}.
+     *
+     * @param entry called only if there are other processes
      */
-    public void onAttemptsEnded(String entry) {
+    public void onAttemptsEnded(Supplier<String> entry) {
         peers.sendToAll(MessageType.ATTEMPTS_ENDED, entry);
     }
 
--- a/daemon/src/main/java/wheelroute/net/handover/PeerProcesses.java
+++ b/daemon/src/main/java/wheelroute/net/handover/PeerProcesses.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * Keeps the connections to the predecessor and the successor process, and the number of processes
@@ -103,6 +104,13 @@
         return false;
     }
 
+    /** Sends a message whose body is built only if there are peers. */
+    void sendToAll(MessageType type, Supplier<String> body) {
+        if (!peers.isEmpty()) {
+            sendToAll(type, body.get());
+        }
+    }
+
     void sendToAll(MessageType type, String body) {
         for (PeerProcess peer : peers.values()) {
             peer.send(type, body);
--- a/daemon/src/main/java/wheelroute/net/memory/MemoryQuota.java
+++ b/daemon/src/main/java/wheelroute/net/memory/MemoryQuota.java
@@ -17,9 +17,14 @@
         this.limitBytes = limitBytes;
     }
 
+    /** Returns whether so many more bytes can be reserved without exceeding the limit. */
+    public boolean hasRoomFor(int bytes) {
+        return reservedBytes + bytes <= limitBytes;
+    }
+
     /** Reserves bytes unless that would exceed the limit; returns whether they were reserved. */
     public boolean tryReserve(int bytes) {
-        boolean fits = reservedBytes + bytes <= limitBytes;
+        boolean fits = hasRoomFor(bytes);
         reservedBytes += fits ? bytes : 0;
         return fits;
     }
--- a/daemon/src/main/java/wheelroute/net/requests/AttemptHistory.java
+++ b/daemon/src/main/java/wheelroute/net/requests/AttemptHistory.java
@@ -29,16 +29,17 @@
     private final MemoryQuota quota;
     private final double retentionSeconds;
 
-    /** In the order in which they are forgotten. */
-    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    /** By the ids of clients, in the order in which they are forgotten. */
+    private final Map<String, RememberedEntry> entries = new LinkedHashMap<>();
 
     /**
      * The attempts of a request.
      *
      * @param clientId the id that the client gave to the request
-     * @param forgetAt the time at which the request is forgotten
      */
-    record Entry(String clientId, List<EarlierAttempt> attempts, double forgetAt) {}
+    record Entry(String clientId, List<EarlierAttempt> attempts) {}
+
+    private record RememberedEntry(Entry entry, double forgetAt) {}
 
     /**
      * Creates an empty history.
@@ -54,11 +55,7 @@
     /** Returns whether one more request could be remembered. */
     boolean hasMemory(String clientId, double now) {
         forgetUntil(now);
-        boolean fits = quota.tryReserve(bytesOf(clientId));
-        if (fits) {
-            quota.release(bytesOf(clientId));
-        }
-        return fits;
+        return quota.hasRoomFor(bytesOf(clientId));
     }
 
     /**
@@ -71,7 +68,7 @@
         if (attempts.isEmpty()) {
             return null;
         }
-        Entry entry = new Entry(clientId, List.copyOf(attempts), now + retentionSeconds);
+        Entry entry = new Entry(clientId, List.copyOf(attempts));
         put(entry, now);
         return entry;
     }
@@ -81,7 +78,7 @@
         List<EarlierAttempt> attempts = new ArrayList<>(attemptsOf(imported.clientId(), now));
         attempts.addAll(imported.attempts());
         List<EarlierAttempt> distinct = attempts.stream().distinct().toList();
-        put(new Entry(imported.clientId(), distinct, now + retentionSeconds), now);
+        put(new Entry(imported.clientId(), distinct), now);
     }
 
     private void put(Entry entry, double now) {
@@ -90,30 +87,31 @@
         if (entries.remove(entry.clientId()) == null) {
             quota.reserve(bytesOf(entry.clientId()));
         }
-        entries.put(entry.clientId(), entry);
+        entries.put(entry.clientId(), new RememberedEntry(entry, now + retentionSeconds));
     }
 
     /** Returns the attempts of the requests with this id; empty if none is remembered. */
     List<EarlierAttempt> attemptsOf(String clientId, double now) {
-        Entry entry = entries.get(clientId);
-        return entry == null || entry.forgetAt() <= now ? List.of() : entry.attempts();
+        forgetUntil(now);
+        RememberedEntry remembered = entries.get(clientId);
+        return remembered == null ? List.of() : remembered.entry.attempts();
     }
 
     /** Returns a copy of all entries. */
     List<Entry> all(double now) {
         forgetUntil(now);
-        return new ArrayList<>(entries.values());
+        return entries.values().stream().map(RememberedEntry::entry).toList();
     }
 
     private void forgetUntil(double now) {
-        Iterator<Entry> oldest = entries.values().iterator();
+        Iterator<RememberedEntry> oldest = entries.values().iterator();
         while (oldest.hasNext()) {
-            Entry entry = oldest.next();
-            if (entry.forgetAt() > now) {
+            RememberedEntry next = oldest.next();
+            if (next.forgetAt > now) {
                 return;
             }
             oldest.remove();
-            quota.release(bytesOf(entry.clientId()));
+            quota.release(bytesOf(next.entry.clientId()));
         }
     }
 
--- a/daemon/src/main/java/wheelroute/net/requests/AttemptHistoryCodec.java
+++ b/daemon/src/main/java/wheelroute/net/requests/AttemptHistoryCodec.java
@@ -43,7 +43,7 @@
     }
 
     /**
-     * Decodes an entry, whose time of expiry is not encoded.
+     * Decodes an entry.
      *
      * @throws IOException if the text is malformed
      */
@@ -64,7 +64,7 @@
             }
         }
         expect(clientId != null);
-        return new AttemptHistory.Entry(clientId, attempts, Double.NaN);
+        return new AttemptHistory.Entry(clientId, attempts);
     }
 
     private static void decodeAttempts(JsonParser json, List<EarlierAttempt> attempts, double now)
--- a/daemon/src/main/java/wheelroute/net/requests/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/requests/Exchange.java
@@ -230,9 +230,11 @@
     }
 
     private void remove() {
-        // Without a handle the policy has thrown before any attempt.
+        // Without a handle the policy has thrown while it accepted the request.
         List<EarlierAttempt> attempts =
-                handle == null ? List.of() : handle.attemptsThatMayHaveRun();
-        dispatcher.remove(request, attemptRequest.id(), attempts);
+                attemptRequest.atMostOnce() && handle != null
+                        ? handle.attemptsThatMayHaveRun()
+                        : List.of();
+        dispatcher.remove(request.id(), attemptRequest.id(), attempts);
     }
 }
--- a/daemon/src/main/java/wheelroute/net/requests/OpenRequests.java
+++ b/daemon/src/main/java/wheelroute/net/requests/OpenRequests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import wheelroute.decision.Ids;
 import wheelroute.net.handover.Handover;
 
@@ -45,9 +46,10 @@
     /**
      * Removes a request.
      *
-     * @param history an entry of the {@link AttemptHistory} for the other processes; null for none
+     * @param history encodes an entry of the {@link AttemptHistory} for the other processes; null
+     *     for none
      */
-    void remove(Ids.Request id, String clientId, String history) {
+    void remove(Ids.Request id, String clientId, Supplier<String> history) {
         exchanges.remove(id);
         clientIds.remove(clientId);
         if (handover != null) {
--- a/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
+++ b/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
@@ -136,20 +136,17 @@
      * Removes a request that has neither a response nor an attempt outstanding; does nothing if it
      * was already removed.
      *
-     * @param attempts the attempts that may have run
+     * @param attempts the attempts that may have run; empty for an idempotent request
      */
-    void remove(Request request, String clientId, List<EarlierAttempt> attempts) {
-        if (openRequests.get(request.id()) == null) {
+    void remove(Ids.Request id, String clientId, List<EarlierAttempt> attempts) {
+        if (openRequests.get(id) == null) {
             return;
         }
-        AttemptHistory.Entry entry =
-                requestFactory.isIdempotent(request)
-                        ? null
-                        : attemptHistory.add(clientId, attempts, loop.now());
+        AttemptHistory.Entry entry = attemptHistory.add(clientId, attempts, loop.now());
         openRequests.remove(
-                request.id(),
+                id,
                 clientId,
-                entry == null ? null : AttemptHistoryCodec.encode(entry, loop.now()));
+                entry == null ? null : () -> AttemptHistoryCodec.encode(entry, loop.now()));
     }
 
     /** Records that a pending request has been answered or abandoned. */
--- a/daemon/src/main/java/wheelroute/net/requests/RequestFactory.java
+++ b/daemon/src/main/java/wheelroute/net/requests/RequestFactory.java
@@ -71,12 +71,6 @@
         return requestClass;
     }
 
-    /** Returns whether a request may run any number of times. */
-    boolean isIdempotent(Request request) {
-        return requestClasses.get(request.requestClass().name()).idempotency()
-                == Idempotency.IDEMPOTENT;
-    }
-
     /**
      * Returns the deadline of a request, on the event loop's clock in seconds.
      *
--- a/daemon/src/test/java/wheelroute/net/requests/AttemptHistoryTest.java
+++ b/daemon/src/test/java/wheelroute/net/requests/AttemptHistoryTest.java
@@ -75,7 +75,7 @@
         history.add("one", List.of(ATTEMPT), 100);
         String imported =
                 AttemptHistoryCodec.encode(
-                        new AttemptHistory.Entry("one", List.of(ATTEMPT, OTHER_ATTEMPT), 0), 100);
+                        new AttemptHistory.Entry("one", List.of(ATTEMPT, OTHER_ATTEMPT)), 100);
         history.merge(AttemptHistoryCodec.decode(imported, 100), 110);
         assertEquals(history.attemptsOf("one", 139), List.of(ATTEMPT, OTHER_ATTEMPT));
         assertEquals(history.all(110).size(), 1);
@@ -83,7 +83,7 @@
 
     @Test
     public void encodesTimesAsAges() throws IOException {
-        AttemptHistory.Entry entry = new AttemptHistory.Entry("a b", List.of(ATTEMPT), 0);
+        AttemptHistory.Entry entry = new AttemptHistory.Entry("a b", List.of(ATTEMPT));
         String text = AttemptHistoryCodec.encode(entry, 100);
         assertEquals(text, "{\"id\":\"a b\",\"attempts\":[\"north \\\"1\\\"\",3,5.0]}");
         AttemptHistory.Entry decoded = AttemptHistoryCodec.decode(text, 1000);
