--- a/daemon/src/test/java/wheelroute/BackgroundTask.java
+++ b/daemon/src/test/java/wheelroute/BackgroundTask.java
@@ -31,8 +31,8 @@
                 });
     }
 
-    /** Runs the task on a new daemon thread; an exception ends the thread silently. */
-    static void start(BackgroundTask task) {
+    /** Runs the task on a new daemon thread, which an exception ends silently. */
+    static Thread start(BackgroundTask task) {
         Thread thread =
                 new Thread(
                         () -> {
@@ -45,5 +45,6 @@
                         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
