Identify repeats by class and idempotency key, and tell other processes before an attempt

Cause: a repeat was identified by the request's id, which is new with a client's retry (PROTOCOL). Attempts were remembered when a request ended, so that they were lost with a killed predecessor, for 60 s at most, in some 265 bytes each.

Change: a request with a key is identified by its class and key, one of a non-idempotent class by class and id. AttemptHistory has the group and time of the first attempt that may have run from before it is sent, 42 bits each in the memory of before, until the window and the longest timeouts have passed. The other processes get it before the worker does; a process reads what they have sent before it accepts such a request. A repeat of an open request is answered 409. When memory is short, clients that hold most are rejected first, with a metric and a log line. The window is checked again once an attempt's connection is open, and a repeat that may have run is not answered 503 by a draining process.

The recorded metrics and handover messages have new entries, and counts that follow from those.

--- a/daemon/src/main/java/wheelroute/decision/IdempotencyScope.java
+++ b/daemon/src/main/java/wheelroute/decision/IdempotencyScope.java
@@ -13,8 +13,8 @@
     public boolean covers(EarlierAttempt earlier, Endpoint worker) {
         return switch (this) {
             case ALL -> true;
-            case ZONE -> earlier.zone().equals(worker.zone());
-            case CELL -> earlier.cell().equals(worker.cell());
+            case ZONE -> worker.zone().equals(earlier.zone());
+            case CELL -> worker.cell().equals(earlier.cell());
         };
     }
 }
--- a/daemon/src/main/java/wheelroute/decision/Request.java
+++ b/daemon/src/main/java/wheelroute/decision/Request.java
@@ -11,8 +11,8 @@
  * @param slots the number of slots of a worker that the request needs; less than 1 counts as 1
  * @param clientRetry whether the client marked the request as a retry
  * @param key the routing key; null if the request has none
- * @param earlierAttempts the attempts that may have run of earlier requests with the same id; empty
- *     for an idempotent request, which may run any number of times
+ * @param earlierAttempts the attempts that may have run of earlier requests which this one repeats;
+ *     empty for an idempotent request, which may run any number of times
  */
 public record Request(
         Ids.Request id,
--- a/daemon/src/main/java/wheelroute/decision/RequestEvents.java
+++ b/daemon/src/main/java/wheelroute/decision/RequestEvents.java
@@ -27,6 +27,11 @@
         return request.attemptsThatMayHaveRun();
     }
 
+    @Override
+    public void onEarlierAttempt(EarlierAttempt attempt) {
+        request.addEarlierAttempt(attempt);
+    }
+
     @Override
     public void onClientGone() {
         request.markClosed();
--- a/daemon/src/main/java/wheelroute/decision/RequestHandle.java
+++ b/daemon/src/main/java/wheelroute/decision/RequestHandle.java
@@ -15,10 +15,17 @@
     boolean isComplete();
 
     /**
-     * Returns the attempts that may have run, of this request and of earlier ones with the same id.
+     * Returns the attempts that may have run, of earlier requests which this one repeats, and then
+     * of this request in the order in which they were sent.
      */
     List<EarlierAttempt> attemptsThatMayHaveRun();
 
+    /**
+     * Handles that an attempt which this request would repeat may have run, of which another
+     * process has told.
+     */
+    void onEarlierAttempt(EarlierAttempt attempt);
+
     /**
      * Handles that the client is gone or has its answer. Nothing more is decided for the request.
      */
--- a/daemon/src/main/java/wheelroute/decision/retry/RetryRules.java
+++ b/daemon/src/main/java/wheelroute/decision/retry/RetryRules.java
@@ -109,7 +109,7 @@
                 return false;
             }
         }
-        for (EarlierAttempt earlier : request.request().earlierAttempts()) {
+        for (EarlierAttempt earlier : request.earlierAttempts()) {
             if (!recognizesRepeat(worker, earlier, request.settings())) {
                 return false;
             }
--- a/daemon/src/main/java/wheelroute/decision/state/TrackedRequest.java
+++ b/daemon/src/main/java/wheelroute/decision/state/TrackedRequest.java
@@ -19,6 +19,10 @@
     private final KeyAffinity<WorkerState>.CacheLocations affinity;
     private final KeyQueue queue;
     private final List<Attempt> attempts = new ArrayList<>(2);
+
+    /** Copied when another process tells of an attempt, which is rare. */
+    private List<EarlierAttempt> earlierAttempts;
+
     private double keyBlockedUntil = Double.NEGATIVE_INFINITY;
     private int inFlight;
     private boolean closed;
@@ -41,6 +45,7 @@
             KeyAffinity<WorkerState>.CacheLocations affinity,
             KeyQueue queue) {
         this.request = request;
+        earlierAttempts = request.earlierAttempts();
         this.requestClass = requestClass;
         this.work = requestClass.estimates().workFor(request.estimatedWork());
         this.slots = Math.max(1, request.slots());
@@ -166,15 +171,25 @@
         return failed;
     }
 
-    /** Returns whether any attempt may have run, of this request or an earlier one with its id. */
+    /** Returns the attempts that may have run of earlier requests which this one repeats. */
+    public List<EarlierAttempt> earlierAttempts() {
+        return earlierAttempts;
+    }
+
+    /** Adds an attempt that may have run of a request which this one repeats. */
+    public void addEarlierAttempt(EarlierAttempt attempt) {
+        earlierAttempts = new ArrayList<>(earlierAttempts);
+        earlierAttempts.add(attempt);
+    }
+
+    /** Returns whether any attempt may have run, of this request or one which it repeats. */
     public boolean mayHaveRun() {
-        return !request.earlierAttempts().isEmpty()
-                || attempts.stream().anyMatch(Attempt::mayHaveRun);
+        return !earlierAttempts.isEmpty() || attempts.stream().anyMatch(Attempt::mayHaveRun);
     }
 
-    /** Returns the attempts that may have run, of this request and of earlier ones with its id. */
+    /** Returns the attempts that may have run, of requests which this one repeats and of itself. */
     public List<EarlierAttempt> attemptsThatMayHaveRun() {
-        List<EarlierAttempt> all = new ArrayList<>(request.earlierAttempts());
+        List<EarlierAttempt> all = new ArrayList<>(earlierAttempts);
         attempts.stream().filter(Attempt::mayHaveRun).map(Attempt::asEarlier).forEach(all::add);
         return all;
     }
--- a/daemon/src/main/java/wheelroute/net/clients/ClientServer.java
+++ b/daemon/src/main/java/wheelroute/net/clients/ClientServer.java
@@ -38,6 +38,7 @@
 
     private final ConnectionLimit<ClientConnection> connections;
     private final HeapBudget heapBudget;
+    private final ConnectionNumbers<ClientConnection> numbers = new ConnectionNumbers<>();
     private ServerSocketChannel server;
     private boolean isListening;
 
@@ -116,6 +117,7 @@
      */
     boolean onOpened(ClientConnection connection) {
         counters.count(Counters.Counter.CLIENT_CONNECTIONS);
+        numbers.add(connection);
         connections
                 .connectionToEvict(loop.now(), ClientConnection::readAvailable)
                 .ifPresent(ClientConnection::evict);
@@ -146,6 +148,7 @@
     /** Removes a connection; does nothing if it was already removed. */
     void onClosed(ClientConnection connection) {
         connections.remove(connection);
+        numbers.remove(connection);
     }
 
     /** Returns the number of open connections. */
@@ -164,9 +167,9 @@
     }
 
     RequestAcceptor.AcceptedRequest accept(
-            ClientRequest message, double arrivedAt, RequestAcceptor.ResponseSender responses)
+            ClientRequest message, double arrivedAt, ClientConnection connection)
             throws BadRequestException {
-        return acceptor.accept(message, arrivedAt, responses);
+        return acceptor.accept(message, arrivedAt, numbers.get(connection), connection);
     }
 
     boolean closesAfterResponse() {
--- a/daemon/src/main/java/wheelroute/net/clients/RequestAcceptor.java
+++ b/daemon/src/main/java/wheelroute/net/clients/RequestAcceptor.java
@@ -26,10 +26,13 @@
      *
      * @param arrivedAt the earliest Unix time in seconds at which the last byte of the request may
      *     have arrived; the client's timeout starts then
+     * @param connectionNumber the number of the client's connection, which no other open connection
+     *     has
      * @throws BadRequestException if the request is invalid, for example if its request class is
      *     unknown
      */
-    AcceptedRequest accept(ClientRequest message, double arrivedAt, ResponseSender responses)
+    AcceptedRequest accept(
+            ClientRequest message, double arrivedAt, int connectionNumber, ResponseSender responses)
             throws BadRequestException;
 
     /** Records a complete request that was rejected because too many connections were open. */
--- a/daemon/src/main/java/wheelroute/net/handover/Handover.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Handover.java
@@ -1,7 +1,6 @@
 package wheelroute.net.handover;
 
 import java.nio.file.Path;
-import java.util.function.Supplier;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import wheelroute.net.loop.EventLoop;
@@ -157,14 +156,48 @@
         peers.sendToAll(MessageType.REQUEST_OPENED, clientId);
     }
 
+    /** Whether there are other processes of this dispatcher. */
+    public boolean hasPeers() {
+        return peers.processCount() > 1;
+    }
+
+    /**
+     * Handles the messages that other processes have sent and that were not read yet, so that they
+     * count before a client's message that was sent later.
+     */
+    public void readAvailable() {
+        peers.readAvailable();
+    }
+
+    /** Returns whether a request with this identity is open in another process. */
+    public boolean isKeyOpenElsewhere(String identity) {
+        return peers.hasOpenKey(identity);
+    }
+
+    /** Notifies the other processes that a request that must not run twice is open here. */
+    public void onKeyOpened(String identity) {
+        peers.sendToAll(MessageType.KEY_OPENED, identity);
+    }
+
+    /** Notifies the other processes that the request with this identity is no longer open here. */
+    public void onKeyClosed(String identity) {
+        peers.sendToAll(MessageType.KEY_CLOSED, identity);
+    }
+
+    /** Notifies the other processes that no attempt of a request that was announced has run. */
+    public void onNeverRan(String identity) {
+        peers.sendToAll(MessageType.NEVER_RAN, identity);
+    }
+
     /**
-     * Sends the other processes the attempts that may have run of a request, before {@link
-     * #onRequestClosed}.
+     * Notifies the other processes of an attempt before it is sent.
      *
-     * @param entry called only if there are other processes
+     * @param sent run once the operating system has the message, which then arrives even if this
+     *     process is killed; possibly before this method returns
      */
-    public void onAttemptsEnded(Supplier<String> entry) {
-        peers.sendToAll(MessageType.ATTEMPTS_ENDED, entry);
+    public void onAttemptStarting(String attempt, Runnable sent) {
+        peers.sendToAll(MessageType.ATTEMPT_STARTING, attempt);
+        peers.afterSending(sent);
     }
 
     /**
--- a/daemon/src/main/java/wheelroute/net/handover/MessageType.java
+++ b/daemon/src/main/java/wheelroute/net/handover/MessageType.java
@@ -11,11 +11,21 @@
     REQUEST_OPENED("open"),
     /** A request is no longer open; the body is its client-given id. */
     REQUEST_CLOSED("over"),
+    /** The attempts of a request by its id, which older versions send; ignored. */
+    ATTEMPTS_ENDED("ran"),
+    /** A request that must not run twice has been opened; the body is its identity as JSON. */
+    KEY_OPENED("key-open"),
+    /** A request that must not run twice is no longer open; the body is its identity. */
+    KEY_CLOSED("key-over"),
     /**
-     * The attempts that may have run of a request that is no longer open, as JSON. Sent before
-     * {@link #REQUEST_CLOSED}, so that the receiver knows the request at any time.
+     * The first attempt of a request that must not run twice is about to be sent; the body is the
+     * attempt as JSON.
      */
-    ATTEMPTS_ENDED("ran"),
+    ATTEMPT_STARTING("sends"),
+    /** No attempt of a request that was announced has run; the body is its identity. */
+    NEVER_RAN("never-ran"),
+    /** A part of the attempt history, as JSON; sent to a successor. */
+    ATTEMPT_HISTORY("history"),
     /**
      * The number of processes on the far side of the sender, to which the receiver is not
      * connected.
--- a/daemon/src/main/java/wheelroute/net/handover/PeerMessageHandler.java
+++ b/daemon/src/main/java/wheelroute/net/handover/PeerMessageHandler.java
@@ -1,6 +1,7 @@
 package wheelroute.net.handover;
 
 import java.io.IOException;
+import java.util.Iterator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wheelroute.net.loop.EventLoop;
@@ -63,6 +64,7 @@
     }
 
     private void sendOpenRequests(PeerProcess peer) {
+        state.openKeys().forEach(identity -> peer.send(MessageType.KEY_OPENED, identity));
         state.openRequestIds().forEach(id -> peer.send(MessageType.REQUEST_OPENED, id));
     }
 
@@ -75,7 +77,9 @@
         switch (message.type()) {
             case REQUEST_OPENED -> peer.openRequestIds().add(message.body());
             case REQUEST_CLOSED -> peer.openRequestIds().remove(message.body());
-            case ATTEMPTS_ENDED -> state.importAttempts(message.body());
+            case KEY_OPENED, KEY_CLOSED, ATTEMPT_STARTING, NEVER_RAN ->
+                    onAtMostOnceMessage(peer, message);
+            case ATTEMPT_HISTORY -> importAttemptHistory(peer, message.body());
             case PROCESSES_BEHIND -> peers.setProcessesBehind(peer, parseCount(message.body()));
             case SERVING -> {
                 if (peer.role() == ProcessChain.Role.SUCCESSOR) {
@@ -87,7 +91,30 @@
                     stateImport.onMessage(message);
                 }
             }
-            case GREETING, UNKNOWN -> LOG.debug("ignored unexpected handover message: {}", message);
+            case GREETING, ATTEMPTS_ENDED, UNKNOWN ->
+                    LOG.debug("ignored unexpected handover message: {}", message);
+        }
+    }
+
+    /** Handles a message about a request that must not run twice, which all processes must know. */
+    private void onAtMostOnceMessage(PeerProcess peer, HandoverMessage message) throws IOException {
+        switch (message.type()) {
+            case KEY_OPENED -> peer.openKeys().add(message.body());
+            case KEY_CLOSED -> peer.openKeys().remove(message.body());
+            case ATTEMPT_STARTING -> state.importAttempt(message.body());
+            default -> state.importNeverRan(message.body());
+        }
+        peers.forward(peer, message.type(), message.body());
+    }
+
+    private void importAttemptHistory(PeerProcess peer, String line) {
+        if (peer.role() != ProcessChain.Role.PREDECESSOR) {
+            return;
+        }
+        try {
+            state.importAttemptHistory(line);
+        } catch (IOException e) {
+            LOG.warn("attempt history of predecessor process not imported: {}", e.getMessage());
         }
     }
 
@@ -123,12 +150,22 @@
         }
         successor.send(MessageType.LEARNED_STATE, state.exportLearnedState());
         sendOpenRequests(successor);
-        state.exportAttemptHistory()
-                .forEach(entry -> successor.send(MessageType.ATTEMPTS_ENDED, entry));
-        successor.send(MessageType.TRANSFER_COMPLETE);
+        exportAttemptHistory(successor, state.exportAttemptHistory());
         LOG.info("handover begins: successor process connected");
     }
 
+    /**
+     * Sends one line after the other, as there may be more of them than a peer may leave unread.
+     */
+    private void exportAttemptHistory(PeerProcess successor, Iterator<String> lines) {
+        if (lines.hasNext()) {
+            successor.send(MessageType.ATTEMPT_HISTORY, lines.next());
+            successor.afterSending(() -> exportAttemptHistory(successor, lines));
+        } else {
+            successor.send(MessageType.TRANSFER_COMPLETE);
+        }
+    }
+
     private static int parseCount(String text) throws HandoverProtocolException {
         try {
             return Integer.parseInt(text);
@@ -139,6 +176,7 @@
 
     @Override
     public void onClosed(PeerProcess peer) {
+        peer.openKeys().forEach(identity -> peers.forward(peer, MessageType.KEY_CLOSED, identity));
         boolean wasLast = peer.role() == ProcessChain.Role.SUCCESSOR && peers.isSuccessorLast();
         if (peers.remove(peer) && wasLast) {
             onLastSuccessorLeft.run();
--- a/daemon/src/main/java/wheelroute/net/handover/PeerProcess.java
+++ b/daemon/src/main/java/wheelroute/net/handover/PeerProcess.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import wheelroute.net.loop.EventLoop;
 import wheelroute.net.loop.LineBuffer;
@@ -26,6 +27,14 @@
      */
     private static final int MAX_UNSENT_BYTES = 2 * MAX_LINE_BYTES;
 
+    /** Maximum time in which a peer has to read enough for what waits to be sent to it. */
+    private static final double MAX_SEND_SECONDS = 1;
+
+    private static final int AVAILABLE_BYTES = 4 * 1024;
+
+    /** A task that waits until so many bytes have been sent. */
+    private record SendWaiter(long threshold, Runnable task) {}
+
     /** Receives the events of a connection to a peer. */
     interface Listener {
         /** Called when the connection is established and nothing has been sent or received. */
@@ -47,9 +56,20 @@
     private final LineBuffer lines = new LineBuffer(MAX_LINE_BYTES);
     private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
     private final Set<String> openRequestIds = new HashSet<>();
+    private final Set<String> openKeys = new HashSet<>();
+    private final ArrayDeque<SendWaiter> sendWaiters = new ArrayDeque<>();
+
+    /** Filled outside of the event loop's reads, in which its buffers may be in use. */
+    private final ByteBuffer availableBytes = BufferUtil.allocate(AVAILABLE_BYTES);
+
     private boolean greeted;
-    private long unsentBytes;
+    private long queuedBytes;
+    private long sentBytes;
     private boolean sending;
+
+    /** Whether the next message is being passed to the operating system. */
+    private boolean writing;
+
     private boolean closed;
 
     /** The last count sent to the peer. A peer that has received no count assumes 0. */
@@ -71,6 +91,14 @@
         return openRequestIds;
     }
 
+    /**
+     * Returns the identities of the peer's open requests that must not run twice, which the
+     * listener maintains.
+     */
+    Set<String> openKeys() {
+        return openKeys;
+    }
+
     /** Returns whether the peer has identified itself as a process of this dispatcher. */
     boolean isGreeted() {
         return greeted;
@@ -93,8 +121,8 @@
     void send(MessageType type, String body) {
         byte[] bytes = new HandoverMessage(type, body).encode().getBytes(StandardCharsets.UTF_8);
         unsent.add(ByteBuffer.wrap(bytes));
-        unsentBytes += bytes.length;
-        if (unsentBytes > MAX_UNSENT_BYTES) {
+        queuedBytes += bytes.length;
+        if (queuedBytes - sentBytes > MAX_UNSENT_BYTES) {
             close();
         } else {
             sendNext();
@@ -113,22 +141,65 @@
     }
 
     private void sendNext() {
-        if (sending || unsent.isEmpty() || closed) {
-            return;
+        while (!sending && !unsent.isEmpty() && !closed) {
+            sending = true;
+            ByteBuffer next = unsent.poll();
+            int length = next.remaining();
+            writing = true;
+            getEndPoint()
+                    .write(
+                            Callback.from(() -> onSent(length), cause -> loop.post(this::close)),
+                            next);
+            writing = false;
         }
-        sending = true;
-        ByteBuffer next = unsent.poll();
-        int length = next.remaining();
-        Callback written =
-                Callback.from(
-                        () -> loop.post(() -> onSent(length)), cause -> loop.post(this::close));
-        getEndPoint().write(written, next);
     }
 
+    /** Called within the write if the operating system took the bytes at once. */
     private void onSent(int length) {
         sending = false;
-        unsentBytes -= length;
-        sendNext();
+        sentBytes += length;
+        while (!sendWaiters.isEmpty() && sendWaiters.peek().threshold <= sentBytes) {
+            loop.post(sendWaiters.poll().task);
+        }
+        if (!writing) {
+            sendNext();
+        }
+    }
+
+    /**
+     * Runs a task once the operating system has all that was sent until now, or the connection is
+     * closed; possibly before this method returns. A peer that does not read for a long time is
+     * disconnected, because the task must not wait for it any longer.
+     */
+    void afterSending(Runnable task) {
+        if (closed || sentBytes == queuedBytes) {
+            task.run();
+            return;
+        }
+        long threshold = queuedBytes;
+        sendWaiters.add(new SendWaiter(threshold, task));
+        loop.schedule(
+                MAX_SEND_SECONDS,
+                () -> {
+                    if (sentBytes < threshold) {
+                        close();
+                    }
+                });
+    }
+
+    /** Handles the messages that have arrived and were not read yet. */
+    void readAvailable() {
+        try {
+            while (!closed && getEndPoint().isOpen()) {
+                BufferUtil.clear(availableBytes);
+                if (getEndPoint().fill(availableBytes) <= 0) {
+                    return;
+                }
+                onBytes(availableBytes);
+            }
+        } catch (IOException e) {
+            onFailure(e);
+        }
     }
 
     @Override
@@ -165,6 +236,8 @@
         if (!closed) {
             closed = true;
             unsent.clear();
+            sendWaiters.forEach(waiter -> loop.post(waiter.task));
+            sendWaiters.clear();
             listener.onClosed(this);
         }
     }
--- a/daemon/src/main/java/wheelroute/net/handover/PeerProcesses.java
+++ b/daemon/src/main/java/wheelroute/net/handover/PeerProcesses.java
@@ -1,8 +1,10 @@
 package wheelroute.net.handover;
 
+import java.util.ArrayDeque;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
+import java.util.Queue;
 
 /**
  * Keeps the connections to the predecessor and the successor process, and the number of processes
@@ -104,16 +106,49 @@
         return false;
     }
 
-    /** Sends a message whose body is built only if there are peers. */
-    void sendToAll(MessageType type, Supplier<String> body) {
-        if (!peers.isEmpty()) {
-            sendToAll(type, body.get());
+    /** Returns whether a request with this identity is open in one of the peers. */
+    boolean hasOpenKey(String identity) {
+        for (PeerProcess peer : peers.values()) {
+            if (peer.openKeys().contains(identity)) {
+                return true;
+            }
         }
+        return false;
     }
 
+    /** Sends a message to all peers, any of which may be disconnected by that. */
     void sendToAll(MessageType type, String body) {
-        for (PeerProcess peer : peers.values()) {
+        for (PeerProcess peer : List.copyOf(peers.values())) {
             peer.send(type, body);
         }
     }
+
+    /** Sends a message of one peer on to the peer on the other side. */
+    void forward(PeerProcess sender, MessageType type, String body) {
+        PeerProcess other = peers.get(sender.role().other());
+        if (other != null) {
+            other.send(type, body);
+        }
+    }
+
+    /** Runs a task once all that was sent to the peers has been written, or they have left. */
+    void afterSending(Runnable task) {
+        afterSending(new ArrayDeque<>(peers.values()), task);
+    }
+
+    private static void afterSending(Queue<PeerProcess> waitingFor, Runnable task) {
+        PeerProcess next = waitingFor.poll();
+        if (next == null) {
+            task.run();
+        } else {
+            next.afterSending(() -> afterSending(waitingFor, task));
+        }
+    }
+
+    /** Handles the messages of all peers that have arrived and were not read yet. */
+    void readAvailable() {
+        for (PeerProcess peer : List.copyOf(peers.values())) {
+            peer.readAvailable();
+        }
+    }
 }
--- a/daemon/src/main/java/wheelroute/net/lifecycle/ServiceComponents.java
+++ b/daemon/src/main/java/wheelroute/net/lifecycle/ServiceComponents.java
@@ -68,7 +68,8 @@
                         workers,
                         config.settings(),
                         config.maxTimeoutSeconds(),
-                        heapBudget.attemptHistory());
+                        heapBudget.attemptHistoryBytes(),
+                        DescriptorBudget.clientConnections(config));
         dispatcher.setWatch(newWatch(config.discovery(), importCachedEndpoints()));
         clients =
                 new ClientServer(
--- a/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
+++ b/daemon/src/main/java/wheelroute/net/memory/HeapBudget.java
@@ -25,7 +25,7 @@
 
     private static final double ATTEMPT_HISTORY_FRACTION = 0.05;
 
-    /** Maximum memory for the attempt history on a large heap, all of which one transfer sends. */
+    /** Maximum memory for the attempt history on a large heap. */
     private static final long MAX_ATTEMPT_HISTORY_BYTES = 2L * 1024 * 1024;
 
     /** Maximum memory for pipelined input on a large heap. */
@@ -34,7 +34,7 @@
     private final FairShareQuota requests;
     private final FairShareQuota pipelinedInput;
     private final ResponseMemory responses;
-    private final MemoryQuota attemptHistory;
+    private final long attemptHistoryBytes;
 
     /**
      * Creates a budget without any reservations.
@@ -51,11 +51,8 @@
                                 (long) (PIPELINED_INPUT_FRACTION * heapBytes)),
                         maxClientConnections);
         responses = new ResponseMemory((long) (RESPONSES_FRACTION * heapBytes));
-        attemptHistory =
-                new MemoryQuota(
-                        Math.min(
-                                MAX_ATTEMPT_HISTORY_BYTES,
-                                (long) (ATTEMPT_HISTORY_FRACTION * heapBytes)));
+        attemptHistoryBytes =
+                Math.min(MAX_ATTEMPT_HISTORY_BYTES, (long) (ATTEMPT_HISTORY_FRACTION * heapBytes));
     }
 
     /** Returns the budget of this process. */
@@ -83,9 +80,9 @@
         return pipelinedInput;
     }
 
-    /** Returns the quota for the ids of requests that may have run, until they are forgotten. */
-    public MemoryQuota attemptHistory() {
-        return attemptHistory;
+    /** Returns the maximum memory for what is remembered of requests that may have run. */
+    public long attemptHistoryBytes() {
+        return attemptHistoryBytes;
     }
 
     /** Returns the memory for responses, from their arrival to the client's last byte. */
--- a/daemon/src/main/java/wheelroute/net/metrics/Counters.java
+++ b/daemon/src/main/java/wheelroute/net/metrics/Counters.java
@@ -25,7 +25,12 @@
         WORKER_CONNECTIONS("connections_total", "peer=\"worker\""),
         DISCOVERY_CALLS("list_calls_total", ""),
         DISCOVERY_FAILURES("list_failures_total", ""),
-        DISCOVERY_REJECTIONS("list_rejections_total", "");
+        DISCOVERY_REJECTIONS("list_rejections_total", ""),
+        /** Requests that repeat one of which an attempt may have run. */
+        REPEATS("repeats_total", ""),
+        /** Requests that were not accepted because the one which they repeat is open. */
+        REPEATS_OF_OPEN_REQUESTS("repeats_of_open_total", ""),
+        ATTEMPT_HISTORY_REJECTIONS("attempt_history_rejections_total", "");
 
         private final String name;
         private final String label;
@@ -165,6 +170,7 @@
         appendGauge(out, "workers_listed", gauges.listed());
         appendGauge(out, "workers_avoided", gauges.avoided());
         appendGauge(out, "list_lease_expired", gauges.leaseExpired());
+        appendGauge(out, "attempt_history_entries", gauges.rememberedRequests());
     }
 
     /** Escapes a label value as the Prometheus text format requires. */
--- a/daemon/src/main/java/wheelroute/net/metrics/Gauges.java
+++ b/daemon/src/main/java/wheelroute/net/metrics/Gauges.java
@@ -11,6 +11,7 @@
  * @param listed workers on the endpoint list, including draining workers
  * @param avoided listed workers to which the policy currently sends no ordinary requests
  * @param leaseExpired 1 while the endpoint list is too old for any worker to be used, otherwise 0
+ * @param rememberedRequests requests that must not run twice of which an attempt may have run
  */
 public record Gauges(
         int open,
@@ -19,4 +20,5 @@
         int workers,
         int listed,
         int avoided,
-        int leaseExpired) {}
+        int leaseExpired,
+        int rememberedRequests) {}
--- a/daemon/src/main/java/wheelroute/net/requests/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/requests/Exchange.java
@@ -12,6 +12,7 @@
 import wheelroute.net.clients.ClientRequest;
 import wheelroute.net.clients.ClientResponse;
 import wheelroute.net.clients.RequestAcceptor;
+import wheelroute.net.history.RequestIdentity;
 import wheelroute.net.loop.EventLoop;
 import wheelroute.net.metrics.Counters;
 import wheelroute.net.workers.AttemptListener;
@@ -27,7 +28,11 @@
 public final class Exchange implements RequestAcceptor.AcceptedRequest {
     private static final int TYPICAL_ATTEMPTS = 2;
 
+    /** The time after which the client's connection is checked again before an attempt. */
+    private static final double MAX_UNCHECKED_WAIT_SECONDS = 0.02;
+
     private final RequestDispatcher dispatcher;
+    private final EventLoop loop;
     private final Request request;
     private AttemptRequest attemptRequest;
     private final RequestAcceptor.ResponseSender client;
@@ -37,19 +42,16 @@
     /** The handle of the request in the policy; null until the policy has accepted the request. */
     private RequestHandle handle;
 
-    /**
-     * Whether the policy is accepting the request. Attempts that start during that time need no
-     * check of the client's connection, which has just been checked.
-     */
-    private boolean beingAccepted;
-
     /** Whether the final response has been sent, or the client has closed its connection. */
     private boolean answeredOrAbandoned;
 
+    /** What is remembered of the request; null if it may run any number of times. */
+    private final AtMostOnceRequest atMostOnce;
+
     /**
      * Creates an exchange and starts its deadline timer. The caller must then call {@link #begin}.
      *
-     * @param atMostOnce whether a second run on a worker could have a second effect
+     * @param atMostOnce what is remembered of the request; null if it may run any number of times
      */
     public Exchange(
             RequestDispatcher dispatcher,
@@ -57,8 +59,10 @@
             Request request,
             ClientRequest message,
             RequestAcceptor.ResponseSender client,
-            boolean atMostOnce) {
+            AtMostOnceRequest atMostOnce) {
         this.dispatcher = dispatcher;
+        this.loop = loop;
+        this.atMostOnce = atMostOnce;
         this.request = request;
         this.client = client;
         attemptRequest =
@@ -69,32 +73,112 @@
                         message.idempotencyKey(),
                         message.routeKey(),
                         message.body(),
-                        atMostOnce);
+                        atMostOnce != null);
         deadlineTimer = loop.schedule(request.deadline() - loop.now(), this::onDeadline);
     }
 
     /** Passes the request to the policy. Must run as a separate event of the policy. */
     public void begin(Policy policy) {
-        beingAccepted = true;
         handle = policy.accept(request);
-        beingAccepted = false;
+        // The client's connection has just been checked.
+        new ArrayList<>(attempts).forEach(Attempt::prepare);
+    }
+
+    /** Whether this exchange is that of a request that must not run twice. */
+    boolean isFor(AtMostOnceRequest candidate) {
+        return atMostOnce == candidate;
+    }
+
+    /** Returns the identity of a request that must not run twice. */
+    RequestIdentity identity() {
+        return atMostOnce.identity();
+    }
+
+    /** Whether the client still waits for the response. */
+    boolean isAwaited() {
+        return !answeredOrAbandoned;
+    }
+
+    /** Ends the request if its client has closed its connection, which may not be read yet. */
+    void detectClientGone() {
+        if (!answeredOrAbandoned) {
+            isClientConnected();
+        }
+    }
+
+    /** Handles that another process has sent an attempt which this request would repeat. */
+    void onEarlierAttempt(EarlierAttempt attempt) {
+        dispatcher.runEvent(
+                () -> {
+                    if (handle != null) {
+                        handle.onEarlierAttempt(attempt);
+                    }
+                });
     }
 
     /** An attempt of the request, which passes the events of the attempt on to the policy. */
     private final class Attempt implements AttemptListener {
         private final int number;
+        private final Ids.Worker worker;
 
         /** Null until the attempt is sent; remains null if the attempt ends without being sent. */
         private InFlightAttempt inFlight;
 
-        Attempt(int number) {
+        private boolean endedUnsent;
+
+        Attempt(int number, Ids.Worker worker) {
             this.number = number;
+            this.worker = worker;
+        }
+
+        /** Has the attempt remembered if the request must not run twice, and then sends it. */
+        void prepare() {
+            if (endedUnsent) {
+                return;
+            }
+            if (atMostOnce == null) {
+                send(Double.POSITIVE_INFINITY);
+                return;
+            }
+            List<EarlierAttempt> mayHaveRun = handle.attemptsThatMayHaveRun();
+            double sendBefore = atMostOnce.sendBefore(mayHaveRun);
+            double preparedAt = loop.now();
+            atMostOnce.beforeSend(
+                    mayHaveRun,
+                    () -> send(sendBefore),
+                    () -> dispatcher.runEvent(() -> sendLate(sendBefore, preparedAt)));
+        }
+
+        /** Sends the attempt after it was announced, unless it is too late by then. */
+        private void sendLate(double sendBefore, double preparedAt) {
+            boolean waited = loop.now() > preparedAt + MAX_UNCHECKED_WAIT_SECONDS;
+            boolean tooLate = waited && (loop.now() >= sendBefore || !isClientConnected());
+            if (!endedUnsent && tooLate) {
+                end(AttemptResult.NOT_SENT);
+            } else if (!endedUnsent) {
+                send(sendBefore);
+            }
+        }
+
+        private void send(double sendBefore) {
+            dispatcher.counters().count(Counters.Counter.ATTEMPTS);
+            inFlight =
+                    dispatcher
+                            .workers()
+                            .send(worker, attemptRequest, request.deadline(), sendBefore, this);
         }
 
-        /** Ends the attempt with a result, if the attempt was sent and has not ended. */
+        void endUnsent() {
+            endedUnsent = true;
+            onEnded(AttemptResult.NOT_SENT, AttemptListener.NO_RESULT, Double.NaN);
+        }
+
+        /** Ends the attempt with a result, unless it has ended. */
         void end(AttemptResult result) {
             if (inFlight != null) {
                 inFlight.abort(result);
+            } else if (!endedUnsent) {
+                endUnsent();
             }
         }
 
@@ -133,16 +217,15 @@
      * disconnected.
      */
     void startAttempt(Ids.Worker worker) {
-        Attempt attempt = new Attempt(attempts.size());
+        boolean beingAccepted = handle == null;
+        Attempt attempt = new Attempt(attempts.size(), worker);
         attempts.add(attempt);
         if (dispatcher.hasDrainEnded()
                 || answeredOrAbandoned
                 || (!beingAccepted && !isClientConnected())) {
-            attempt.onEnded(AttemptResult.NOT_SENT, AttemptListener.NO_RESULT, Double.NaN);
-        } else {
-            dispatcher.counters().count(Counters.Counter.ATTEMPTS);
-            attempt.inFlight =
-                    dispatcher.workers().send(worker, attemptRequest, request.deadline(), attempt);
+            attempt.endUnsent();
+        } else if (!beingAccepted) {
+            attempt.prepare();
         }
     }
 
@@ -182,7 +265,7 @@
         // In that case nothing else would remove this request.
         dispatcher.runEvent(this::removeIfComplete);
         for (Attempt attempt : attempts) {
-            if (attempt.inFlight != null && !attempt.inFlight.isWritten()) {
+            if (attempt.inFlight == null || !attempt.inFlight.isWritten()) {
                 attempt.end(AttemptResult.CANCELLED);
             }
         }
@@ -230,11 +313,9 @@
     }
 
     private void remove() {
-        // Without a handle the policy has thrown while it accepted the request.
-        List<EarlierAttempt> attempts =
-                attemptRequest.atMostOnce() && handle != null
-                        ? handle.attemptsThatMayHaveRun()
-                        : List.of();
-        dispatcher.remove(request.id(), attemptRequest.id(), attempts);
+        if (dispatcher.remove(request.id(), attemptRequest.id()) && atMostOnce != null) {
+            // Without a handle the policy has thrown while it accepted the request.
+            atMostOnce.end(handle == null ? List.of() : handle.attemptsThatMayHaveRun());
+        }
     }
 }
--- a/daemon/src/main/java/wheelroute/net/requests/OpenRequests.java
+++ b/daemon/src/main/java/wheelroute/net/requests/OpenRequests.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Supplier;
 import wheelroute.decision.Ids;
 import wheelroute.net.handover.Handover;
 
@@ -43,19 +42,11 @@
         }
     }
 
-    /**
-     * Removes a request.
-     *
-     * @param history encodes an entry of the {@link AttemptHistory} for the other processes; null
-     *     for none
-     */
-    void remove(Ids.Request id, String clientId, Supplier<String> history) {
+    /** Removes a request. */
+    void remove(Ids.Request id, String clientId) {
         exchanges.remove(id);
         clientIds.remove(clientId);
         if (handover != null) {
-            if (history != null) {
-                handover.onAttemptsEnded(history);
-            }
             handover.onRequestClosed(clientId);
         }
     }
--- a/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
+++ b/daemon/src/main/java/wheelroute/net/requests/RequestDispatcher.java
@@ -4,7 +4,6 @@
 import org.eclipse.jetty.http.HttpStatus;
 import wheelroute.decision.ActionHandler;
 import wheelroute.decision.DispatcherShares;
-import wheelroute.decision.EarlierAttempt;
 import wheelroute.decision.Idempotency;
 import wheelroute.decision.Ids;
 import wheelroute.decision.Policy;
@@ -19,8 +18,8 @@
 import wheelroute.net.discovery.EndpointWatch;
 import wheelroute.net.handover.Handover;
 import wheelroute.net.handover.TransferableState;
+import wheelroute.net.history.AttemptHistory;
 import wheelroute.net.loop.EventLoop;
-import wheelroute.net.memory.MemoryQuota;
 import wheelroute.net.metrics.Counters;
 import wheelroute.net.metrics.Gauges;
 import wheelroute.net.workers.WorkerConnectionPools;
@@ -41,7 +40,7 @@
     private final OpenRequests openRequests = new OpenRequests();
     private final EndpointDirectory endpoints;
     private final DrainAdmission drainAdmission;
-    private final AttemptHistory attemptHistory;
+    private final AtMostOnceRequests atMostOnceRequests;
     private final StateTransfer stateTransfer;
     private EndpointWatch watch;
     private ClientServer clients;
@@ -53,7 +52,8 @@
      * Creates a dispatcher together with its policy.
      *
      * @param maxTimeoutSeconds the maximum timeout of a request; a longer one is reduced to it
-     * @param historyQuota limits the memory of the {@link AttemptHistory}
+     * @param historyBytes the maximum memory of the {@link AttemptHistory}
+     * @param maxClients the number of connections of clients that there can be
      */
     public RequestDispatcher(
             EventLoop loop,
@@ -61,7 +61,8 @@
             WorkerConnectionPools workers,
             Settings settings,
             double maxTimeoutSeconds,
-            MemoryQuota historyQuota) {
+            long historyBytes,
+            int maxClients) {
         this.loop = loop;
         this.counters = counters;
         this.workers = workers;
@@ -73,8 +74,14 @@
         events = new SerialEventQueue(() -> policy.advanceTo(loop.now()));
         endpoints = new EndpointDirectory(workers, new StartTimes(loop));
         drainAdmission = new DrainAdmission(loop, settings, openRequests::hasSuccessor);
-        attemptHistory =
-                new AttemptHistory(historyQuota, maxTimeoutSeconds, longestWindowSeconds(settings));
+        AttemptHistory history =
+                new AttemptHistory(
+                        historyBytes,
+                        longestRetentionSeconds(settings, maxTimeoutSeconds),
+                        maxClients,
+                        settings.seed() ^ System.nanoTime());
+        atMostOnceRequests =
+                new AtMostOnceRequests(loop, counters, settings, maxTimeoutSeconds, history);
         stateTransfer =
                 new StateTransfer(
                         loop,
@@ -82,15 +89,17 @@
                         events,
                         endpoints,
                         openRequests.clientIds(),
-                        attemptHistory,
+                        atMostOnceRequests,
                         this::onEndpoints);
     }
 
-    private static double longestWindowSeconds(Settings settings) {
+    private static double longestRetentionSeconds(Settings settings, double maxTimeoutSeconds) {
         return settings.requestClasses().stream()
-                .filter(requestClass -> requestClass.idempotency() == Idempotency.IDEMPOTENT_BY_KEY)
-                .mapToDouble(Settings.RequestClass::idempotencyWindowSeconds)
-                .reduce(0, Math::max);
+                .mapToDouble(
+                        requestClass ->
+                                AtMostOnceRequests.retentionSeconds(
+                                        requestClass, maxTimeoutSeconds))
+                .reduce(maxTimeoutSeconds, Math::max);
     }
 
     /** Sets the endpoint watch, which is started when the policy asks for it. */
@@ -112,6 +121,7 @@
     /** Sets the handover to the other processes of the dispatcher, or null if there is none. */
     public void setHandover(Handover newHandover) {
         openRequests.setHandover(newHandover);
+        atMostOnceRequests.setHandover(newHandover);
     }
 
     /** Returns the state that can be exported to a successor or imported from a predecessor. */
@@ -136,17 +146,14 @@
      * Removes a request that has neither a response nor an attempt outstanding; does nothing if it
      * was already removed.
      *
-     * @param attempts the attempts that may have run; empty for an idempotent request
+     * @return whether it was removed
      */
-    void remove(Ids.Request id, String clientId, List<EarlierAttempt> attempts) {
+    boolean remove(Ids.Request id, String clientId) {
         if (openRequests.get(id) == null) {
-            return;
+            return false;
         }
-        AttemptHistory.Entry entry = attemptHistory.add(clientId, attempts, loop.now());
-        openRequests.remove(
-                id,
-                clientId,
-                entry == null ? null : () -> AttemptHistoryCodec.encode(entry, loop.now()));
+        openRequests.remove(id, clientId);
+        return true;
     }
 
     /** Records that a pending request has been answered or abandoned. */
@@ -160,28 +167,65 @@
      * may still reject an accepted request.
      */
     @Override
-    public AcceptedRequest accept(ClientRequest message, double arrivedAt, ResponseSender responses)
+    public AcceptedRequest accept(
+            ClientRequest message, double arrivedAt, int connectionNumber, ResponseSender responses)
             throws BadRequestException {
         Settings.RequestClass requestClass = requestFactory.requestClass(message);
         checkIdNotOpen(message);
+        AtMostOnceRequest atMostOnce = null;
+        if (requestClass.idempotency() != Idempotency.IDEMPOTENT) {
+            atMostOnce = atMostOnceRequests.admit(message, requestClass, connectionNumber);
+            if (atMostOnce == null) {
+                onRejected(message);
+                responses.send(ClientResponse.rejected(ClientResponse.NO_RETRY_AFTER));
+                return () -> {};
+            }
+        }
         double deadline = requestFactory.deadline(message, arrivedAt);
         if (deadline <= loop.now()
                 || drainAdmission.mustReject(message, requestClass.idempotency())) {
-            onRejected(message);
-            responses.send(ClientResponse.rejected(drainAdmission.retryAfterSeconds(0)));
+            rejectLate(message, requestClass, atMostOnce, responses);
             return () -> {};
         }
-        boolean atMostOnce = requestClass.idempotency() != Idempotency.IDEMPOTENT;
-        if (atMostOnce && !attemptHistory.hasMemory(message.id(), loop.now())) {
+        return open(message, requestClass, deadline, atMostOnce, responses);
+    }
+
+    /** Answers a request that cannot end in time. */
+    private void rejectLate(
+            ClientRequest message,
+            Settings.RequestClass requestClass,
+            AtMostOnceRequest atMostOnce,
+            ResponseSender responses) {
+        if (atMostOnce != null) {
+            atMostOnce.end(atMostOnce.earlierAttempts());
+        }
+        if (atMostOnce == null || atMostOnce.mayBeRejected()) {
             onRejected(message);
-            responses.send(ClientResponse.rejected(ClientResponse.NO_RETRY_AFTER));
-            return () -> {};
+            responses.send(ClientResponse.rejected(drainAdmission.retryAfterSeconds(0)));
+        } else {
+            counters.count(Counters.Counter.REQUESTS_NOT_ACCEPTED);
+            counters.count(requestClass.id(), Counters.FinalAnswer.FAILED);
+            responses.send(ClientResponse.failed());
         }
-        List<EarlierAttempt> earlierAttempts =
-                atMostOnce ? attemptHistory.attemptsOf(message.id(), loop.now()) : List.of();
-        Request request = requestFactory.create(message, requestClass, deadline, earlierAttempts);
+    }
+
+    private Exchange open(
+            ClientRequest message,
+            Settings.RequestClass requestClass,
+            double deadline,
+            AtMostOnceRequest atMostOnce,
+            ResponseSender responses) {
+        Request request =
+                requestFactory.create(
+                        message,
+                        requestClass,
+                        deadline,
+                        atMostOnce == null ? List.of() : atMostOnce.earlierAttempts());
         Exchange exchange = new Exchange(this, loop, request, message, responses, atMostOnce);
         openRequests.add(request.id(), message.id(), exchange);
+        if (atMostOnce != null) {
+            atMostOnceRequests.onOpened(atMostOnce, exchange);
+        }
         counters.count(Counters.Counter.REQUESTS_ACCEPTED);
         pending++;
         runEvent(() -> exchange.begin(policy));
@@ -230,7 +274,8 @@
                 workers.openConnections(),
                 endpoints.size(),
                 policy.avoidedEndpointCount(),
-                policy.isEndpointLeaseExpired() ? 1 : 0);
+                policy.isEndpointLeaseExpired() ? 1 : 0,
+                atMostOnceRequests.rememberedRequests());
     }
 
     @Override
--- a/daemon/src/main/java/wheelroute/net/requests/StateTransfer.java
+++ b/daemon/src/main/java/wheelroute/net/requests/StateTransfer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -23,7 +24,7 @@
     private final SerialEventQueue events;
     private final EndpointDirectory endpoints;
     private final Set<String> openRequestIds;
-    private final AttemptHistory attemptHistory;
+    private final AtMostOnceRequests atMostOnceRequests;
     private final Consumer<EndpointList> endpointImporter;
 
     /**
@@ -38,14 +39,14 @@
             SerialEventQueue events,
             EndpointDirectory endpoints,
             Set<String> openRequestIds,
-            AttemptHistory attemptHistory,
+            AtMostOnceRequests atMostOnceRequests,
             Consumer<EndpointList> endpointImporter) {
         this.loop = loop;
         this.policy = policy;
         this.events = events;
         this.endpoints = endpoints;
         this.openRequestIds = openRequestIds;
-        this.attemptHistory = attemptHistory;
+        this.atMostOnceRequests = atMostOnceRequests;
         this.endpointImporter = endpointImporter;
     }
 
@@ -78,17 +79,28 @@
     }
 
     @Override
-    public Iterable<String> exportAttemptHistory() {
-        double now = loop.now();
-        return attemptHistory.all(now).stream()
-                .map(entry -> AttemptHistoryCodec.encode(entry, now))
-                .toList();
+    public Iterator<String> exportAttemptHistory() {
+        return atMostOnceRequests.historyTransfer().export(loop.now());
     }
 
     @Override
-    public void importAttempts(String entry) throws IOException {
-        double now = loop.now();
-        attemptHistory.merge(AttemptHistoryCodec.decode(entry, now), now);
+    public void importAttemptHistory(String line) throws IOException {
+        atMostOnceRequests.historyTransfer().importLine(line, loop.now());
+    }
+
+    @Override
+    public void importAttempt(String attempt) throws IOException {
+        atMostOnceRequests.importAttempt(attempt);
+    }
+
+    @Override
+    public void importNeverRan(String request) throws IOException {
+        atMostOnceRequests.importNeverRan(request);
+    }
+
+    @Override
+    public Iterable<String> openKeys() {
+        return atMostOnceRequests.encodeOpenKeys();
     }
 
     @Override
--- a/daemon/src/main/java/wheelroute/net/workers/InFlightAttempt.java
+++ b/daemon/src/main/java/wheelroute/net/workers/InFlightAttempt.java
@@ -9,6 +9,9 @@
     /** Time at which the attempt must end, in seconds on the event loop's clock. */
     private final double deadline;
 
+    /** Time before which the last byte must be written, on the same clock. */
+    private final double sendBefore;
+
     private final AttemptListener listener;
     private final Counters counters;
 
@@ -19,9 +22,14 @@
     private boolean ended;
 
     InFlightAttempt(
-            AttemptRequest request, double deadline, AttemptListener listener, Counters counters) {
+            AttemptRequest request,
+            double deadline,
+            double sendBefore,
+            AttemptListener listener,
+            Counters counters) {
         this.request = request;
         this.deadline = deadline;
+        this.sendBefore = sendBefore;
         this.listener = listener;
         this.counters = counters;
     }
@@ -41,9 +49,12 @@
 
     /**
      * Whether the attempt is to be sent, now that its connection has been opened. Ends the attempt
-     * if its deadline has passed.
+     * if it is too late.
      */
     boolean mayBeSent(double now) {
+        if (!ended && now >= sendBefore) {
+            abort(AttemptResult.NOT_SENT);
+        }
         if (!ended && now >= deadline) {
             abort(AttemptResult.TIMED_OUT);
         }
--- a/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPools.java
+++ b/daemon/src/main/java/wheelroute/net/workers/WorkerConnectionPools.java
@@ -115,11 +115,17 @@
     /**
      * Sends an attempt, which may end before this method returns.
      *
-     * @param deadline Unix time in seconds
+     * @param deadline Unix time in seconds at which the attempt must end
+     * @param sendBefore Unix time in seconds until which it may be written
      */
     public InFlightAttempt send(
-            Ids.Worker worker, AttemptRequest request, double deadline, AttemptListener listener) {
-        InFlightAttempt attempt = new InFlightAttempt(request, deadline, listener, counters);
+            Ids.Worker worker,
+            AttemptRequest request,
+            double deadline,
+            double sendBefore,
+            AttemptListener listener) {
+        InFlightAttempt attempt =
+                new InFlightAttempt(request, deadline, sendBefore, listener, counters);
         WorkerConnectionPool pool = pools.get(worker);
         if (pool == null) {
             attempt.end(AttemptResult.CONNECTION_REFUSED);
--- a/daemon/src/test/java/wheelroute/net/PolicyFailureTest.java
+++ b/daemon/src/test/java/wheelroute/net/PolicyFailureTest.java
@@ -33,7 +33,8 @@
                         null,
                         config.settings(),
                         2,
-                        heapBudget.attemptHistory());
+                        heapBudget.attemptHistoryBytes(),
+                        100);
         CompletableFuture<Integer> status = new CompletableFuture<>();
         loop.post(
                 () -> {
@@ -44,7 +45,7 @@
                                     request(),
                                     MESSAGE,
                                     statusRecorder(status),
-                                    false);
+                                    null);
                     // Without a policy the call throws an exception, as a faulty policy does.
                     dispatcher.runEvent(() -> exchange.begin(null));
                     exchange.onDeadline();
--- a/daemon/src/test/java/wheelroute/net/admin/MetricsWireFormatTest.java
+++ b/daemon/src/test/java/wheelroute/net/admin/MetricsWireFormatTest.java
@@ -18,7 +18,7 @@
 public class MetricsWireFormatTest {
     private static final Ids.RequestClass JOB = new Ids.RequestClass("job");
     private static final Ids.RequestClass NAME_TO_ESCAPE = new Ids.RequestClass("a \"b\", c\\d");
-    private static final Gauges GAUGES = new Gauges(101, 102, 103, 104, 105, 106, 1);
+    private static final Gauges GAUGES = new Gauges(101, 102, 103, 104, 105, 106, 1, 107);
 
     private Counters counters;
     private int lastCount;
--- a/daemon/src/test/java/wheelroute/net/workers/InFlightAttemptTest.java
+++ b/daemon/src/test/java/wheelroute/net/workers/InFlightAttemptTest.java
@@ -35,7 +35,12 @@
         AttemptRequest request =
                 new AttemptRequest("POST", "/job/x", "77", null, null, new byte[0], true);
         InFlightAttempt attempt =
-                new InFlightAttempt(request, DEADLINE_SECONDS, listener, new Counters(List.of()));
+                new InFlightAttempt(
+                        request,
+                        DEADLINE_SECONDS,
+                        Double.POSITIVE_INFINITY,
+                        listener,
+                        new Counters(List.of()));
         assertEquals(attempt.mayBeSent(now), isSent);
         assertEquals(results, expected);
     }
