--- a/daemon/src/main/java/wheelroute/net/requests/AtMostOnceRequests.java
+++ b/daemon/src/main/java/wheelroute/net/requests/AtMostOnceRequests.java
@@ -263,10 +263,14 @@
             throw new IOException("the announcement has no attempt of a known request class");
         }
         long hash = history.hash(announcement.identity());
-        history.merge(hash, announcement.attempt(), retentionSeconds(requestClass), loop.now());
+        EarlierAttempt attempt = announcement.attempt();
         Exchange exchange = open.get(hash);
-        if (exchange != null) {
-            exchange.onEarlierAttempt(announcement.attempt());
+        if (exchange == null) {
+            // It replaces one that the other process has announced before, and that never ran.
+            history.put(hash, attempt, retentionSeconds(requestClass), loop.now());
+        } else {
+            history.merge(hash, attempt, retentionSeconds(requestClass), loop.now());
+            exchange.onEarlierAttempt(attempt);
         }
     }
 
--- a/daemon/src/test/java/wheelroute/net/PendingConnectionTest.java
+++ b/daemon/src/test/java/wheelroute/net/PendingConnectionTest.java
@@ -10,11 +10,18 @@
 import static wheelroute.net.HttpMessages.send;
 import static wheelroute.net.HttpMessages.statusOf;
 
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Collections;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import wheelroute.BackgroundTask;
 import wheelroute.decision.Idempotency;
 
 /**
@@ -111,4 +118,36 @@
         assertEquals(metric("launches_written_total"), 0);
         assertEquals(metric("clients_gone_total"), 1);
     }
+
+    /** Guards against a retry that is decided within the window of its key and sent after it. */
+    @Test(timeOut = TIMEOUT_MILLIS)
+    public void sendsNoRetryOnConnectionThatOpensAfterWindow() throws Exception {
+        maxTimeoutSeconds = 60;
+        BlockingQueue<Socket> attempts = new LinkedBlockingQueue<>();
+        InetSocketAddress[] addresses = {listen(attempts), listen(attempts)};
+        serve(Idempotency.IDEMPOTENT_BY_KEY, 1024, endpointList(addresses));
+        Socket client = connect();
+        send(client, jobRequest(60));
+        Socket first = attempts.take();
+        readMessage(first.getInputStream());
+        loop.holdConnects(Set.of(addresses));
+        clock.stop();
+        // The window is 20 s, and a retry may be decided on until 0.5 s before its end.
+        loop.advance(19.4);
+        first.close();
+        loop.connecting.take();
+        loop.advance(0.45);
+        loop.releaseAll();
+        Socket second = attempts.take();
+        assertEquals(second.getInputStream().read(), -1, "retried after the window");
+        loop.advance(45);
+        assertEquals(statusOf(readMessage(client.getInputStream())), 502);
+    }
+
+    private InetSocketAddress listen(BlockingQueue<Socket> accepted) throws IOException {
+        ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        open.add(server);
+        BackgroundTask.acceptAll(server, Collections.synchronizedCollection(open), accepted::add);
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
 }
