Wait for the attempt history of a predecessor as long as parts of it arrive

Cause: a successor waits 0.5 s in all for the state of its predecessor.

Change: the wait begins anew whenever a part of the history has arrived within it.

--- a/daemon/src/main/java/wheelroute/net/handover/Handover.java
+++ b/daemon/src/main/java/wheelroute/net/handover/Handover.java
@@ -36,7 +36,8 @@
     public static final int MAX_DESCRIPTORS = 4;
 
     /**
-     * Maximum time to wait for the state of a predecessor, which may hang or use another protocol.
+     * Maximum time to wait for the next part of the state of a predecessor, which may hang or use
+     * another protocol.
      */
     private static final double IMPORT_TIMEOUT_SECONDS = 0.5;
 
@@ -90,7 +91,15 @@
             return;
         }
         loop.connect(socket.address(), new PredecessorConnector());
-        loop.schedule(IMPORT_TIMEOUT_SECONDS, stateImport::finish);
+        loop.schedule(IMPORT_TIMEOUT_SECONDS, this::finishImportUnlessProgressing);
+    }
+
+    private void finishImportUnlessProgressing() {
+        if (stateImport.progresses()) {
+            loop.schedule(IMPORT_TIMEOUT_SECONDS, this::finishImportUnlessProgressing);
+        } else {
+            stateImport.finish();
+        }
     }
 
     /**
--- a/daemon/src/main/java/wheelroute/net/handover/PeerMessageHandler.java
+++ b/daemon/src/main/java/wheelroute/net/handover/PeerMessageHandler.java
@@ -113,6 +113,7 @@
         }
         try {
             state.importAttemptHistory(line);
+            stateImport.onPartImported();
         } catch (IOException e) {
             LOG.warn("attempt history of predecessor process not imported: {}", e.getMessage());
         }
--- a/daemon/src/main/java/wheelroute/net/handover/StateImport.java
+++ b/daemon/src/main/java/wheelroute/net/handover/StateImport.java
@@ -16,6 +16,7 @@
     private final TransferableState state;
     private final Runnable onFinished;
     private boolean inProgress;
+    private boolean hasProgressed;
 
     /**
      * Creates an import that has not begun yet.
@@ -31,6 +32,18 @@
         inProgress = true;
     }
 
+    /** Records that a part of the state has arrived, of which there are more. */
+    void onPartImported() {
+        hasProgressed = true;
+    }
+
+    /** Returns whether the import is in progress and a part has arrived since the last call. */
+    boolean progresses() {
+        boolean progresses = inProgress && hasProgressed;
+        hasProgressed = false;
+        return progresses;
+    }
+
     /** Ends the import if it is in progress. The state imported so far stays in use. */
     void finish() {
         if (inProgress) {
