Decide again on attempts whose announcement took long; fewer searches for each request

Cause: read again, an attempt that had waited for another process to read was sent if its client was there, but its worker could be draining by then; the end of a repeat that was never opened told other processes that its key was closed; each keyed request searched the table three times and built streams of its attempts; counters for each client grew with the limit on descriptors.

Change: such an attempt ends unsent, and the policy decides again; only the latest open request closes its key; one search for each new entry, and loops; 4,096 clients at most are counted apart.

--- a/daemon/src/main/java/wheelroute/decision/state/TrackedRequest.java
+++ b/daemon/src/main/java/wheelroute/decision/state/TrackedRequest.java
@@ -184,13 +184,25 @@
 
     /** Returns whether any attempt may have run, of this request or one which it repeats. */
     public boolean mayHaveRun() {
-        return !earlierAttempts.isEmpty() || attempts.stream().anyMatch(Attempt::mayHaveRun);
+        if (!earlierAttempts.isEmpty()) {
+            return true;
+        }
+        for (Attempt attempt : attempts) {
+            if (attempt.mayHaveRun()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns the attempts that may have run, of requests which this one repeats and of itself. */
     public List<EarlierAttempt> attemptsThatMayHaveRun() {
         List<EarlierAttempt> all = new ArrayList<>(earlierAttempts);
-        attempts.stream().filter(Attempt::mayHaveRun).map(Attempt::asEarlier).forEach(all::add);
+        for (Attempt attempt : attempts) {
+            if (attempt.mayHaveRun()) {
+                all.add(attempt.asEarlier());
+            }
+        }
         return all;
     }
 
--- a/daemon/src/main/java/wheelroute/net/history/AttemptHistory.java
+++ b/daemon/src/main/java/wheelroute/net/history/AttemptHistory.java
@@ -170,7 +170,7 @@
         long expiryTick = Math.min(tickAt(expiresAt), tickAt(now) + MAX_RETENTION_TICKS);
         removeFingerprint(fingerprint);
         int index = groups.add(group.zone(), group.cell());
-        table.put(fingerprint, (index << TICK_BITS) | (int) (expiryTick & TICK_MASK));
+        table.add(fingerprint, (index << TICK_BITS) | (int) (expiryTick & TICK_MASK));
     }
 
     /** Removes a request of which no attempt has run. */
--- a/daemon/src/main/java/wheelroute/net/history/ClientShares.java
+++ b/daemon/src/main/java/wheelroute/net/history/ClientShares.java
@@ -19,6 +19,9 @@
     /** The part of the capacity that is for clients that hold little. */
     private static final double RESERVED_FRACTION = 1 / 64.0;
 
+    /** Of more clients than this, some are counted together, so that the memory is bounded. */
+    private static final int MAX_CLIENTS = 4096;
+
     /** The periods into which the longest time is divided for which an entry is kept. */
     private static final int PERIODS = 8;
 
@@ -48,9 +51,10 @@
         this.capacity = capacity;
         periodSeconds = maxRetentionSeconds / PERIODS;
         reservedEntries = (int) (RESERVED_FRACTION * capacity);
-        smallShare = capacity / 2 / maxClients;
-        heldInPeriod = new int[maxClients * RING_PERIODS];
-        held = new int[maxClients];
+        int countedClients = Math.min(maxClients, MAX_CLIENTS);
+        smallShare = capacity / 2 / countedClients;
+        heldInPeriod = new int[countedClients * RING_PERIODS];
+        held = new int[countedClients];
     }
 
     /**
--- a/daemon/src/main/java/wheelroute/net/history/FingerprintTable.java
+++ b/daemon/src/main/java/wheelroute/net/history/FingerprintTable.java
@@ -157,9 +157,8 @@
         return -1;
     }
 
-    /** Adds an entry, or replaces the value of the fingerprint. */
-    void put(long fingerprint, int value) {
-        remove(fingerprint);
+    /** Adds an entry for a fingerprint that is not in the table. */
+    void add(long fingerprint, int value) {
         size++;
         insert(firstBucket(fingerprint), ((fingerprint & TAG_MASK) << VALUE_BITS) | value);
     }
--- a/daemon/src/main/java/wheelroute/net/requests/AtMostOnceRequests.java
+++ b/daemon/src/main/java/wheelroute/net/requests/AtMostOnceRequests.java
@@ -174,17 +174,21 @@
         }
     }
 
-    /** Records that a request is not open any more. */
+    /** Records that a request is not open any more; does nothing if a repeat of it is open. */
     void onEnded(AtMostOnceRequest request) {
-        Exchange latest = open.get(request.hash());
-        if (latest != null && latest.isFor(request)) {
+        if (isLatest(request)) {
             open.remove(request.hash());
-        }
-        if (hasPeers()) {
-            handover.onKeyClosed(encode(request.identity()));
+            if (hasPeers()) {
+                handover.onKeyClosed(encode(request.identity()));
+            }
         }
     }
 
+    private boolean isLatest(AtMostOnceRequest request) {
+        Exchange latest = open.get(request.hash());
+        return latest != null && latest.isFor(request);
+    }
+
     /** Returns the keys of all open requests, encoded for the other processes. */
     List<String> encodeOpenKeys() {
         return open.values().stream().map(exchange -> encode(exchange.identity())).toList();
@@ -236,8 +240,7 @@
 
     /** Forgets a request of which no attempt has run, unless a repeat of it is open. */
     void forget(AtMostOnceRequest request) {
-        Exchange latest = open.get(request.hash());
-        if (latest != null && latest.isFor(request)) {
+        if (isLatest(request)) {
             history.remove(request.hash());
             history.forgetShare(
                     request.client(),
--- a/daemon/src/main/java/wheelroute/net/requests/Exchange.java
+++ b/daemon/src/main/java/wheelroute/net/requests/Exchange.java
@@ -28,8 +28,8 @@
 public final class Exchange implements RequestAcceptor.AcceptedRequest {
     private static final int TYPICAL_ATTEMPTS = 2;
 
-    /** The time after which the client's connection is checked again before an attempt. */
-    private static final double MAX_UNCHECKED_WAIT_SECONDS = 0.02;
+    /** The longest wait for other processes after which an attempt is sent as it was decided. */
+    private static final double MAX_ANNOUNCEMENT_SECONDS = 0.02;
 
     private final RequestDispatcher dispatcher;
     private final EventLoop loop;
@@ -142,20 +142,24 @@
             }
             List<EarlierAttempt> mayHaveRun = handle.attemptsThatMayHaveRun();
             double sendBefore = atMostOnce.sendBefore(mayHaveRun);
-            double preparedAt = loop.now();
+            double announcedAt = loop.now();
             atMostOnce.beforeSend(
                     mayHaveRun,
                     () -> send(sendBefore),
-                    () -> dispatcher.runEvent(() -> sendLate(sendBefore, preparedAt)));
+                    () -> dispatcher.runEvent(() -> sendAnnounced(sendBefore, announcedAt)));
         }
 
-        /** Sends the attempt after it was announced, unless it is too late by then. */
-        private void sendLate(double sendBefore, double preparedAt) {
-            boolean waited = loop.now() > preparedAt + MAX_UNCHECKED_WAIT_SECONDS;
-            boolean tooLate = waited && (loop.now() >= sendBefore || !isClientConnected());
-            if (!endedUnsent && tooLate) {
+        /**
+         * Sends the attempt after it was announced. If that took long, the policy decides again, as
+         * the client may have left and the worker may be draining.
+         */
+        private void sendAnnounced(double sendBefore, double announcedAt) {
+            if (endedUnsent) {
+                return;
+            }
+            if (loop.now() > announcedAt + MAX_ANNOUNCEMENT_SECONDS) {
                 end(AttemptResult.NOT_SENT);
-            } else if (!endedUnsent) {
+            } else {
                 send(sendBefore);
             }
         }
